Resolve IP numbers without the reactor's thread pool

Cause: the test process did not exit; the HTTP client resolved 127.0.0.1 through the reactor's default resolver, which starts a pool of threads. Change: a resolver for IP numbers only, in a transport package that the daemon, the command line and the tests install. Conclusion: processes keep to one thread; names other than IP numbers are not found, as the platform promises addresses by number.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := kernel policies documents daemon cli standins workbench
+PACKAGES := kernel transport policies documents daemon cli standins workbench
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 STAMP := $(VENV)/.installed
 SEED ?= 1
--- a/packages/cli/src/sycamorenotch_cli/main.py
+++ b/packages/cli/src/sycamorenotch_cli/main.py
@@ -19,6 +19,7 @@
 from sycamorenotch_kernel import UnknownNameError
 from sycamorenotch_kernel import commands
 from sycamorenotch_kernel import load_plugins
+from sycamorenotch_transport import install_literal_resolver
 
 OPERATORS = flags.DEFINE_string(
     "operators", "http://127.0.0.1:8081", "URL of an instance's operators' listener."
@@ -37,7 +38,12 @@
     if len(argv) < 2:
         print(_overview())
         sys.exit(ExitCode.USAGE)
-    react(lambda reactor: Deferred.fromCoroutine(_execute(argv[1], argv[2:])))
+    react(lambda reactor: _start(reactor, argv[1], argv[2:]))
+
+
+def _start(reactor: Any, name: str, args: list[str]) -> Deferred[None]:
+    install_literal_resolver(reactor)
+    return Deferred.fromCoroutine(_execute(name, args))
 
 
 async def _execute(name: str, args: list[str]) -> None:
--- a/packages/daemon/src/sycamorenotch_daemon/_build.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_build.py
@@ -15,6 +15,7 @@
 from sycamorenotch_kernel import RecentDecisions
 from sycamorenotch_kernel import load_plugins
 from sycamorenotch_kernel import store_adapters
+from sycamorenotch_transport import install_literal_resolver
 
 
 def build_daemon(settings: DaemonSettings, reactor: Any) -> Daemon:
@@ -25,6 +26,7 @@
     :raises OSError: if a secret file cannot be read.
     """
     load_plugins()
+    install_literal_resolver(reactor)
     sink = EliotSink()
     store = store_adapters.get(settings.store_adapter)(settings.store_url, reactor)
     node = Node(
--- a/packages/daemon/src/sycamorenotch_daemon/_callers.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_callers.py
@@ -21,7 +21,6 @@
 from sycamorenotch_daemon._events import LookupAnswered
 from sycamorenotch_daemon._headers import end_to_end
 from sycamorenotch_daemon._instances import InstanceView
-from sycamorenotch_daemon._listeners import HttpListener
 from sycamorenotch_daemon._node import InForce
 from sycamorenotch_daemon._node import Node
 from sycamorenotch_daemon._problems import write_problem
@@ -37,6 +36,7 @@
 from sycamorenotch_kernel import components
 from sycamorenotch_policies import LookupAnswer
 from sycamorenotch_policies import LookupTable
+from sycamorenotch_transport import HttpListener
 
 MAXIMUM_TIMEOUT = timedelta(hours=1)
 IDEMPOTENCY_KEY = re.compile(r"[A-Za-z0-9._~:-]{1,128}")
--- a/packages/daemon/src/sycamorenotch_daemon/_operators.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_operators.py
@@ -18,7 +18,6 @@
 
 from sycamorenotch_daemon._configuration import ENVIRONMENT_KIND
 from sycamorenotch_daemon._instances import InstanceView
-from sycamorenotch_daemon._listeners import HttpListener
 from sycamorenotch_daemon._node import Node
 from sycamorenotch_daemon._problems import write_problem
 from sycamorenotch_documents import InvalidFileError
@@ -29,6 +28,7 @@
 from sycamorenotch_kernel import StoreFault
 from sycamorenotch_kernel import Version
 from sycamorenotch_kernel import components
+from sycamorenotch_transport import HttpListener
 
 WRITE_TIMEOUT = timedelta(seconds=5)
 OPERATORS_DRAIN = timedelta(seconds=5)
--- a/testing/architecture/test_layering.py
+++ b/testing/architecture/test_layering.py
@@ -15,9 +15,10 @@
     "kernel": set(),
     "policies": {"kernel"},
     "documents": {"kernel"},
-    "standins": {"kernel"},
-    "daemon": {"kernel", "policies", "documents"},
-    "cli": {"kernel", "documents"},
+    "transport": set(),
+    "standins": {"kernel", "transport"},
+    "daemon": {"kernel", "policies", "documents", "transport"},
+    "cli": {"kernel", "documents", "transport"},
 }
 PURE = {"kernel", "policies"}
 PURE_LIBRARIES = {"expression", "automat"}
@@ -65,7 +66,7 @@
 
 
 def test_kernel_imports_no_plugin_module() -> None:
-    wrong = [m for _, m in imported_modules("kernel") if m.endswith("plugins")]
+    wrong = [m for _, m in imported_modules("kernel") if m.endswith(".plugins")]
     assert wrong == []
 
 
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -14,6 +14,7 @@
 from twisted.python.failure import Failure
 
 from sycamorenotch_kernel import load_plugins
+from sycamorenotch_transport import install_literal_resolver
 
 TEST_LIMIT_S = 60.0
 
@@ -24,6 +25,7 @@
 @pytest.fixture(scope="session", autouse=True)
 def _plugins() -> None:
     load_plugins()
+    install_literal_resolver(reactor)
 
 
 @pytest.fixture(scope="session")
