Import every private module of a plug-in package

Cause: each package listed its plug-in modules by hand in one file, which every new plug-in would change. Change: plug-in packages import their private modules through the kernel. Conclusion: a new plug-in is one new file.

--- a/packages/cli/src/sycamorenotch_cli/plugins.py
+++ b/packages/cli/src/sycamorenotch_cli/plugins.py
@@ -1,8 +1,7 @@
-"""Imports the modules that register commands."""
+"""Imports the modules that register commands and reports."""
 
 from __future__ import annotations
 
-from sycamorenotch_cli import _documents
-from sycamorenotch_cli import _plugins
+from sycamorenotch_kernel import import_private_modules
 
-__all__ = ["_documents", "_plugins"]
+import_private_modules("sycamorenotch_cli")
--- a/packages/documents/src/sycamorenotch_documents/plugins.py
+++ b/packages/documents/src/sycamorenotch_documents/plugins.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from sycamorenotch_documents import _environment
+from sycamorenotch_kernel import import_private_modules
 
-__all__ = ["_environment"]
+import_private_modules("sycamorenotch_documents")
--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -48,6 +48,7 @@
 from sycamorenotch_kernel._invariants import InvariantMonitor
 from sycamorenotch_kernel._invariants import InvariantViolated
 from sycamorenotch_kernel._plugins import PLUGIN_GROUP
+from sycamorenotch_kernel._plugins import import_private_modules
 from sycamorenotch_kernel._plugins import load_plugins
 from sycamorenotch_kernel._ports import Attempt
 from sycamorenotch_kernel._ports import Cancellable
@@ -159,6 +160,7 @@
     "events",
     "front_ends",
     "health_signals",
+    "import_private_modules",
     "load_plugins",
     "message_types",
     "reports",
--- a/packages/kernel/src/sycamorenotch_kernel/_plugins.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_plugins.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pkgutil
+from importlib import import_module
 from importlib import metadata
 
 PLUGIN_GROUP = "sycamorenotch.plugins"
@@ -17,3 +19,17 @@
     """
     found = sorted(metadata.entry_points(group=group), key=lambda point: point.value)
     return tuple(point.load().__name__ for point in found)
+
+
+def import_private_modules(package: str) -> tuple[str, ...]:
+    """Import the private modules of a package, which register their values.
+
+    :param package: full name of the package.
+    :return: full names of the modules.
+    """
+    paths = import_module(package).__path__
+    names = sorted(module.name for module in pkgutil.iter_modules(paths))
+    private = tuple(f"{package}.{name}" for name in names if name.startswith("_"))
+    for name in private:
+        import_module(name)
+    return private
--- a/packages/standins/src/sycamorenotch_standins/plugins.py
+++ b/packages/standins/src/sycamorenotch_standins/plugins.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from sycamorenotch_standins import _memory
+from sycamorenotch_kernel import import_private_modules
 
-__all__ = ["_memory"]
+import_private_modules("sycamorenotch_standins")
