Add the types of the plan and the steering policies' interface

Cause: the holder of the plan and the steering policies are built side by side and need one set of types. Change: frozen types for routes, grants, outstanding grants, shifts and allowances; a view and a decision for the steering policies; the baseline "nearest".

--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -47,6 +47,14 @@
 from sycamorenotch_kernel._invariants import InvariantError
 from sycamorenotch_kernel._invariants import InvariantMonitor
 from sycamorenotch_kernel._invariants import InvariantViolated
+from sycamorenotch_kernel._plan import Grant
+from sycamorenotch_kernel._plan import OutstandingGrant
+from sycamorenotch_kernel._plan import Plan
+from sycamorenotch_kernel._plan import PlanRoute
+from sycamorenotch_kernel._plan import RegionShare
+from sycamorenotch_kernel._plan import Shift
+from sycamorenotch_kernel._plan import ShiftCause
+from sycamorenotch_kernel._plan import SpillAllowance
 from sycamorenotch_kernel._plugins import PLUGIN_GROUP
 from sycamorenotch_kernel._plugins import import_private_modules
 from sycamorenotch_kernel._plugins import load_plugins
@@ -115,6 +123,7 @@
     "EventSink",
     "Fact",
     "Failure",
+    "Grant",
     "Headers",
     "IPNetwork",
     "IdentifierSource",
@@ -128,12 +137,16 @@
     "ListedInstance",
     "ManualClock",
     "Objective",
+    "OutstandingGrant",
+    "Plan",
+    "PlanRoute",
     "Proceed",
     "Ran",
     "Rank",
     "RankPolicy",
     "RecentDecisions",
     "Region",
+    "RegionShare",
     "Registry",
     "RegistryEntry",
     "RegistryError",
@@ -141,7 +154,10 @@
     "Scheduler",
     "Service",
     "Severity",
+    "Shift",
+    "ShiftCause",
     "ShiftPolicy",
+    "SpillAllowance",
     "Store",
     "StoreError",
     "StoreFault",
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -5,5 +5,23 @@
 from sycamorenotch_policies._blocks import BlockTable
 from sycamorenotch_policies._lookup import LookupAnswer
 from sycamorenotch_policies._lookup import LookupTable
+from sycamorenotch_policies._steering import make_plan
+from sycamorenotch_policies._steering_view import Demand
+from sycamorenotch_policies._steering_view import InstanceContact
+from sycamorenotch_policies._steering_view import MakePlan
+from sycamorenotch_policies._steering_view import PlanDecision
+from sycamorenotch_policies._steering_view import SteeringView
+from sycamorenotch_policies._steering_view import WorkerReport
 
-__all__ = ["BlockTable", "LookupAnswer", "LookupTable"]
+__all__ = [
+    "BlockTable",
+    "Demand",
+    "InstanceContact",
+    "LookupAnswer",
+    "LookupTable",
+    "MakePlan",
+    "PlanDecision",
+    "SteeringView",
+    "WorkerReport",
+    "make_plan",
+]
