Inject clock, random source, sink and reactor into a daemon

Cause: a daemon could only be built on the system's clock, and HTTP timeouts fell back to the global reactor, so that a run under a virtual clock was not possible. Change: the builder takes its surroundings; listeners and clients use the reactor that they are given. Conclusion: a whole daemon can run on a virtual reactor.

--- a/packages/daemon/src/sycamorenotch_daemon/_build.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_build.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from dataclasses import field
 from pathlib import Path
+from random import Random
 from random import SystemRandom
 from typing import Any
+from typing import final
 
 from sycamorenotch_daemon._clock import SystemClock
 from sycamorenotch_daemon._daemon import Daemon
 from sycamorenotch_daemon._events import EliotSink
 from sycamorenotch_daemon._node import Node
 from sycamorenotch_documents import DaemonSettings
+from sycamorenotch_kernel import Clock
+from sycamorenotch_kernel import EventSink
 from sycamorenotch_kernel import InvariantMonitor
 from sycamorenotch_kernel import RecentDecisions
 from sycamorenotch_kernel import load_plugins
@@ -18,25 +24,42 @@
 from sycamorenotch_transport import install_literal_resolver
 
 
-def build_daemon(settings: DaemonSettings, reactor: Any) -> Daemon:
-    """Build a daemon that uses the system's clock and random source.
+@final
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a daemon takes from the process that it runs in.
+
+    :param strict: whether a violated invariant raises an exception.
+    """
+
+    clock: Clock = field(default_factory=SystemClock)
+    random: Random = field(default_factory=SystemRandom)
+    sink: EventSink = field(default_factory=EliotSink)
+    strict: bool = False
+
+
+def build_daemon(
+    settings: DaemonSettings, reactor: Any, surroundings: Surroundings | None = None
+) -> Daemon:
+    """Build a daemon with every component that is registered.
 
     :param settings: validated settings.
     :param reactor: the one loop of the process.
+    :param surroundings: the system's clock, random source and log if absent.
     :raises OSError: if a secret file cannot be read.
     """
     load_plugins()
     install_literal_resolver(reactor)
-    sink = EliotSink()
+    around = Surroundings() if surroundings is None else surroundings
     store = store_adapters.get(settings.store_adapter)(settings.store_url, reactor)
     node = Node(
         settings=settings,
         reactor=reactor,
-        clock=SystemClock(),
-        random=SystemRandom(),
-        sink=sink,
+        clock=around.clock,
+        random=around.random,
+        sink=around.sink,
         decisions=RecentDecisions(),
-        invariants=InvariantMonitor(sink),
+        invariants=InvariantMonitor(around.sink, strict=around.strict),
         store=store,
         directory=store,
         token=_secret(settings.operator_token_file),
--- a/packages/daemon/src/sycamorenotch_daemon/_dispatch.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_dispatch.py
@@ -78,6 +78,7 @@
                 headers=headers,
                 data=call.body or None,
                 timeout=remaining.total_seconds(),
+                reactor=self._node.reactor,
                 allow_redirects=False,
             )
             content = await treq.content(response)
--- a/packages/daemon/src/sycamorenotch_daemon/_http_store.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_http_store.py
@@ -91,6 +91,7 @@
 
     def __init__(self, url: str, reactor: Any) -> None:
         self._url = url.rstrip("/")
+        self._reactor = reactor
         self._pool = HTTPConnectionPool(reactor)
         self._client = HTTPClient(Agent(reactor, pool=self._pool))
 
@@ -165,6 +166,7 @@
                 headers=headers,
                 data=body,
                 timeout=timeout.total_seconds(),
+                reactor=self._reactor,
             )
             content = await treq.content(response)
         except ConnectError as exc:
--- a/packages/transport/src/sycamorenotch_transport/_listeners.py
+++ b/packages/transport/src/sycamorenotch_transport/_listeners.py
@@ -34,7 +34,7 @@
 
     async def start(self, resource: IResource) -> None:
         """Listen; the port accepts connections when this returns."""
-        site = Site(resource, timeout=IDLE_CONNECTION_S)
+        site = Site(resource, reactor=self._reactor, timeout=IDLE_CONNECTION_S)
         site.displayTracebacks = False
         site.requestFactory = self._track(site.requestFactory)
         endpoint = serverFromString(self._reactor, self._endpoint)
