Guard the store with deadlines, a budget and a breaker

Cause: the adapter's calls had no call budget and a store outage was met with a call for each request; a cancelled watch came back as an error and went on. Change: StoreGuard wraps any adapter; reads are retried with jitter, writes never; an automat breaker admits a few probes while the store is down; calls are counted by kind. One suite runs against the in-memory and HTTP adapters.

--- a/packages/daemon/src/sycamorenotch_daemon/_build.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_build.py
@@ -14,6 +14,8 @@
 from sycamorenotch_daemon._daemon import Daemon
 from sycamorenotch_daemon._events import EliotSink
 from sycamorenotch_daemon._node import Node
+from sycamorenotch_daemon._store_guard import StoreCalls
+from sycamorenotch_daemon._store_guard import StoreGuard
 from sycamorenotch_documents import DaemonSettings
 from sycamorenotch_kernel import Clock
 from sycamorenotch_kernel import EventSink
@@ -51,7 +53,15 @@
     load_plugins()
     install_literal_resolver(reactor)
     around = Surroundings() if surroundings is None else surroundings
-    store = store_adapters.get(settings.store_adapter)(settings.store_url, reactor)
+    adapter = store_adapters.get(settings.store_adapter)(settings.store_url, reactor)
+    store = StoreGuard(
+        adapter,
+        reactor,
+        around.clock,
+        around.random,
+        around.sink,
+        settings.calls_per_second,
+    )
     node = Node(
         settings=settings,
         reactor=reactor,
@@ -65,6 +75,7 @@
         token=_secret(settings.operator_token_file),
         peer_key=_secret(settings.peer_key_file).encode(),
     )
+    node.provide(StoreCalls, store.calls)
     return Daemon(node)
 
 
--- a/packages/daemon/src/sycamorenotch_daemon/_http_store.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_http_store.py
@@ -18,6 +18,8 @@
 from pydantic import BeforeValidator
 from pydantic import ValidationError
 from treq.client import HTTPClient
+from twisted.internet.defer import CancelledError
+from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError
 from twisted.web.client import Agent
 from twisted.web.client import HTTPConnectionPool
@@ -159,27 +161,35 @@
         body: bytes | None = None,
     ) -> Result[T, StoreError]:
         lost = StoreFault.UNAVAILABLE if method == "GET" else StoreFault.UNKNOWN
+        sent = Deferred.fromCoroutine(self._send(method, path, headers, body))
+        sent.addTimeout(timeout.total_seconds(), self._reactor)
         try:
-            response = await self._client.request(
-                method,
-                self._url + path,
-                headers=headers,
-                data=body,
-                timeout=timeout.total_seconds(),
-                reactor=self._reactor,
-            )
-            content = await treq.content(response)
+            status, content = await sent
+        except CancelledError:
+            raise
         except ConnectError as exc:
             return Error(StoreError(StoreFault.UNAVAILABLE, str(exc)))
         except Exception as exc:
             return Error(StoreError(lost, f"{type(exc).__name__}: {exc}"))
         try:
-            if response.code in (200, 201):
+            if status in (200, 201):
                 return Ok(decode(content))
-            return Error(_error(response.code, content))
+            return Error(_error(status, content))
         except ValidationError as exc:
             return Error(StoreError(lost, f"malformed answer: {exc.error_count()}"))
 
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None,
+        body: bytes | None,
+    ) -> tuple[int, bytes]:
+        response = await self._client.request(
+            method, self._url + path, headers=headers, data=body
+        )
+        return response.code, await treq.content(response)
+
 
 def _object(content: bytes) -> StoredObject:
     return _ObjectModel.model_validate_json(content).stored()
--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_store_guard.py
@@ -0,0 +1,255 @@
+"""Keeps a store adapter inside its deadlines, call budget and breaker."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from datetime import timedelta
+from random import Random
+from typing import Any
+from typing import Protocol
+from typing import TypeVar
+from typing import final
+
+from expression import Error
+from expression import Result
+from twisted.internet.defer import CancelledError
+from twisted.internet.defer import Deferred
+from twisted.internet.error import TimeoutError
+from twisted.internet.task import deferLater
+
+from sycamorenotch_daemon._breaker import Breaker
+from sycamorenotch_daemon._store_events import StoreBreakerClosed
+from sycamorenotch_daemon._store_events import StoreBreakerOpened
+from sycamorenotch_daemon._store_events import StoreBudgetExceeded
+from sycamorenotch_kernel import Changes
+from sycamorenotch_kernel import Clock
+from sycamorenotch_kernel import Directory
+from sycamorenotch_kernel import EventSink
+from sycamorenotch_kernel import ListedInstance
+from sycamorenotch_kernel import Store
+from sycamorenotch_kernel import StoredObject
+from sycamorenotch_kernel import StoreError
+from sycamorenotch_kernel import StoreFault
+from sycamorenotch_kernel import Version
+
+T = TypeVar("T")
+
+READ_ATTEMPTS = 3
+READ_BACK_OFF = timedelta(milliseconds=50)
+# A watch that has no change to report is answered at its own time limit.
+WATCH_MARGIN = timedelta(seconds=5)
+BURST = timedelta(seconds=2)
+FAILED = frozenset({StoreFault.UNAVAILABLE, StoreFault.UNKNOWN})
+
+
+class GuardedStore(Store, Directory, Protocol):
+    """A store adapter that also reads the platform's list of instances."""
+
+
+@final
+@dataclass(slots=True)
+class StoreCalls:
+    """Counts of store calls by kind, for metrics.
+
+    :param made: calls handed to the adapter.
+    :param failed: calls without a regular answer.
+    :param refused: calls refused by the budget or the breaker.
+    """
+
+    made: Counter[str] = field(default_factory=Counter)
+    failed: Counter[str] = field(default_factory=Counter)
+    refused: Counter[str] = field(default_factory=Counter)
+
+
+@final
+class CallBudget:
+    """Token bucket of store calls.
+
+    :param rate: calls per second on average.
+    """
+
+    def __init__(self, rate: float, clock: Clock) -> None:
+        self._rate = rate
+        self._clock = clock
+        self._most = max(1.0, rate * BURST.total_seconds())
+        self._tokens = self._most
+        self._at = clock.monotonic()
+
+    def take(self) -> bool:
+        """Take one call from the budget, if there is one."""
+        now = self._clock.monotonic()
+        gained = (now - self._at).total_seconds() * self._rate
+        self._tokens = min(self._most, self._tokens + gained)
+        self._at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+@final
+class StoreGuard:
+    """Store and directory whose calls are bounded, retried and counted.
+
+    Only reads are retried. A write that has no answer at its deadline is
+    reported as :attr:`StoreFault.UNKNOWN`.
+
+    :param calls_per_second: the daemon's call budget.
+    """
+
+    def __init__(
+        self,
+        adapter: Any,
+        reactor: Any,
+        clock: Clock,
+        random: Random,
+        sink: EventSink,
+        calls_per_second: float,
+    ) -> None:
+        self.calls = StoreCalls()
+        self._adapter: GuardedStore = adapter
+        self._reactor = reactor
+        self._random = random
+        self._sink = sink
+        self._budget = CallBudget(calls_per_second, clock)
+        self._breaker = Breaker(clock, random)
+
+    async def get(
+        self, kind: str, name: str, timeout: timedelta
+    ) -> Result[StoredObject, StoreError]:
+        """Read one object."""
+        return await self._read(
+            "get", timeout, lambda: self._adapter.get(kind, name, timeout)
+        )
+
+    async def list(
+        self, kind: str, timeout: timedelta
+    ) -> Result[tuple[StoredObject, ...], StoreError]:
+        """Read every object of a kind."""
+        return await self._read(
+            "list", timeout, lambda: self._adapter.list(kind, timeout)
+        )
+
+    async def instances(
+        self, timeout: timedelta
+    ) -> Result[tuple[ListedInstance, ...], StoreError]:
+        """Read the platform's list of instances."""
+        return await self._read(
+            "instances", timeout, lambda: self._adapter.instances(timeout)
+        )
+
+    async def create(
+        self, kind: str, name: str, value: bytes, timeout: timedelta
+    ) -> Result[StoredObject, StoreError]:
+        """Write an object that must not exist."""
+        return await self._call(
+            "create",
+            timeout,
+            lambda: self._adapter.create(kind, name, value, timeout),
+            StoreFault.UNKNOWN,
+        )
+
+    async def update(
+        self, kind: str, name: str, value: bytes, expected: Version, timeout: timedelta
+    ) -> Result[StoredObject, StoreError]:
+        """Replace an object of the expected version."""
+        return await self._call(
+            "update",
+            timeout,
+            lambda: self._adapter.update(kind, name, value, expected, timeout),
+            StoreFault.UNKNOWN,
+        )
+
+    async def delete(
+        self, kind: str, name: str, expected: Version, timeout: timedelta
+    ) -> Result[None, StoreError]:
+        """Remove an object of the expected version."""
+        return await self._call(
+            "delete",
+            timeout,
+            lambda: self._adapter.delete(kind, name, expected, timeout),
+            StoreFault.UNKNOWN,
+        )
+
+    async def watch(
+        self, kind: str, after: Version, timeout: timedelta
+    ) -> Result[Changes, StoreError]:
+        """Wait for changes later than a version, or for the timeout."""
+        return await self._call(
+            "watch",
+            timeout + WATCH_MARGIN,
+            lambda: self._adapter.watch(kind, after, timeout),
+            StoreFault.UNAVAILABLE,
+        )
+
+    async def _read(
+        self,
+        call: str,
+        timeout: timedelta,
+        perform: Callable[[], Awaitable[Result[T, StoreError]]],
+    ) -> Result[T, StoreError]:
+        limit = self._reactor.seconds() + timeout.total_seconds()
+        for attempt in range(READ_ATTEMPTS):
+            left = timedelta(seconds=limit - self._reactor.seconds())
+            result = await self._call(call, left, perform, StoreFault.UNAVAILABLE)
+            last = attempt == READ_ATTEMPTS - 1
+            if last or result.is_ok() or result.error.fault not in FAILED:
+                return result
+            delay = self._random.random() * READ_BACK_OFF.total_seconds() * 2**attempt
+            if self._reactor.seconds() + delay >= limit:
+                return result
+            await deferLater(self._reactor, delay)
+        raise AssertionError("unreachable")
+
+    async def _call(
+        self,
+        call: str,
+        timeout: timedelta,
+        perform: Callable[[], Awaitable[Result[T, StoreError]]],
+        lost: StoreFault,
+    ) -> Result[T, StoreError]:
+        if not self._breaker.admits():
+            self.calls.refused[call] += 1
+            return Error(StoreError(StoreFault.UNAVAILABLE, "the breaker is open"))
+        if not self._budget.take():
+            self.calls.refused[call] += 1
+            self._sink.emit(StoreBudgetExceeded(call))
+            return Error(StoreError(StoreFault.REFUSED, "the call budget is used up"))
+        self.calls.made[call] += 1
+        result = await self._bounded(timeout, perform, lost)
+        self._judge(call, result)
+        return result
+
+    async def _bounded(
+        self,
+        timeout: timedelta,
+        perform: Callable[[], Awaitable[Result[T, StoreError]]],
+        lost: StoreFault,
+    ) -> Result[T, StoreError]:
+        pending = Deferred.fromCoroutine(_coroutine(perform()))
+        pending.addTimeout(timeout.total_seconds(), self._reactor)
+        try:
+            return await pending
+        except TimeoutError:
+            return Error(StoreError(lost, "no answer before the deadline"))
+        except CancelledError:
+            raise
+        except Exception as exc:
+            return Error(StoreError(lost, f"{type(exc).__name__}: {exc}"))
+
+    def _judge(self, call: str, result: Result[Any, StoreError]) -> None:
+        if result.is_ok() or result.error.fault not in FAILED:
+            if self._breaker.succeeded():
+                self._sink.emit(StoreBreakerClosed())
+            return
+        self.calls.failed[call] += 1
+        if self._breaker.failed():
+            self._sink.emit(StoreBreakerOpened(result.error.detail))
+
+
+async def _coroutine(awaitable: Awaitable[T]) -> T:
+    return await awaitable
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from sycamorenotch_policies._blocks import BlockTable
+from sycamorenotch_policies._fleet import FleetMember
+from sycamorenotch_policies._fleet import MemberState
 from sycamorenotch_policies._lookup import LookupAnswer
 from sycamorenotch_policies._lookup import LookupTable
 from sycamorenotch_policies._steering import make_plan
@@ -16,10 +18,12 @@
 __all__ = [
     "BlockTable",
     "Demand",
+    "FleetMember",
     "InstanceContact",
     "LookupAnswer",
     "LookupTable",
     "MakePlan",
+    "MemberState",
     "PlanDecision",
     "SteeringView",
     "WorkerReport",
--- /dev/null
+++ b/packages/policies/src/sycamorenotch_policies/_fleet.py
@@ -0,0 +1,45 @@
+"""Types that describe the instances of the fleet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from enum import unique
+from typing import final
+
+from sycamorenotch_kernel import InstanceId
+
+
+@final
+@unique
+class MemberState(Enum):
+    """State of an instance as one daemon sees it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    SUSPECT = "suspect"
+    GONE = "gone"
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class FleetMember:
+    """One instance as one daemon sees it.
+
+    :param incarnation: number that each start of an instance raises.
+    :param generation: configuration generation it is known to serve, or 0.
+    :param digest: digest of that configuration, or an empty string.
+    :param last_heard: age of the newest news, or none if it was never heard.
+    :param listed: whether the platform's list has the instance.
+    """
+
+    instance: InstanceId
+    region: str
+    data_centre: str
+    state: MemberState
+    incarnation: int
+    generation: int
+    digest: str
+    last_heard: timedelta | None
+    listed: bool
--- a/packages/standins/src/sycamorenotch_standins/_memory.py
+++ b/packages/standins/src/sycamorenotch_standins/_memory.py
@@ -13,6 +13,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from sycamorenotch_kernel import Changes
+from sycamorenotch_kernel import ListedInstance
 from sycamorenotch_kernel import StoredObject
 from sycamorenotch_kernel import StoreError
 from sycamorenotch_kernel import StoreFault
@@ -34,6 +35,7 @@
     def __init__(self, table: ObjectTable, reactor: IReactorTime) -> None:
         self.table = table
         self.fault = FaultSwitch()
+        self.listed: tuple[ListedInstance, ...] = ()
         self._reactor = reactor
 
     async def get(
@@ -92,6 +94,14 @@
             await self._change_or_timeout(kind, timeout)
         return Ok(self.table.changes(kind, after))
 
+    async def instances(
+        self, timeout: timedelta
+    ) -> Result[tuple[ListedInstance, ...], StoreError]:
+        """Read the platform's list of instances."""
+        if self.fault.strike() != "none":
+            return _unavailable()
+        return Ok(self.listed)
+
     async def _change_or_timeout(self, kind: str, timeout: timedelta) -> None:
         fired: Deferred[None] = Deferred()
 
--- /dev/null
+++ b/testing/daemon/test_store_adapters.py
@@ -0,0 +1,160 @@
+"""One suite for every store adapter, each behind the guard."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+import pytest
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.web.server import Site
+
+from sycamorenotch_daemon._clock import SystemClock
+from sycamorenotch_daemon._http_store import HttpStore
+from sycamorenotch_daemon._store_guard import StoreGuard
+from sycamorenotch_kernel import EventList
+from sycamorenotch_kernel import StoreFault
+from sycamorenotch_kernel import Version
+from sycamorenotch_standins import ObjectTable
+from sycamorenotch_standins import StoreApi
+from sycamorenotch_standins._faults import FaultSwitch
+from sycamorenotch_standins._memory import MemoryStore
+
+SOON = timedelta(seconds=5)
+SHORT = timedelta(milliseconds=200)
+
+
+@dataclass
+class Rig:
+    store: StoreGuard
+    table: ObjectTable
+    fault: FaultSwitch
+
+
+def guard(adapter: Any) -> StoreGuard:
+    return StoreGuard(adapter, reactor, SystemClock(), Random(1), EventList(), 1000)
+
+
+@pytest.fixture(params=["memory", "http"])
+def rig(
+    request: pytest.FixtureRequest, run_in_reactor: Callable[..., Any]
+) -> Iterator[Rig]:
+    table = ObjectTable()
+    if request.param == "memory":
+        memory = MemoryStore(table, reactor)
+        yield Rig(guard(memory), table, memory.fault)
+        return
+    api = StoreApi(table, reactor)
+    endpoint = TCP4ServerEndpoint(reactor, 0, interface="127.0.0.1")
+    listening = endpoint.listen(Site(api.app.resource()))
+    port = run_in_reactor(_wait(listening))
+    adapter = HttpStore(f"http://127.0.0.1:{port.getHost().port}", reactor)
+    yield Rig(guard(adapter), table, api.fault)
+    run_in_reactor(adapter.close())
+    run_in_reactor(_wait(port.stopListening()))
+
+
+async def _wait(deferred: Any) -> Any:
+    return await deferred
+
+
+def test_object_is_read_back_when_created(
+    rig: Rig, run_in_reactor: Callable[..., Any]
+) -> None:
+    async def scenario() -> None:
+        created = await rig.store.create("plans", "p", b"\x00one", SOON)
+        assert (await rig.store.get("plans", "p", SOON)).ok == created.ok
+        assert (await rig.store.list("plans", SOON)).ok == (created.ok,)
+
+    run_in_reactor(scenario())
+
+
+def test_update_gives_winner_when_version_is_old(
+    rig: Rig, run_in_reactor: Callable[..., Any]
+) -> None:
+    async def scenario() -> None:
+        first = (await rig.store.create("plans", "p", b"1", SOON)).ok
+        second = (await rig.store.update("plans", "p", b"2", first.version, SOON)).ok
+        lost = await rig.store.update("plans", "p", b"3", first.version, SOON)
+        assert lost.error.fault is StoreFault.CONFLICT
+        assert lost.error.current == second
+        again = await rig.store.create("plans", "p", b"4", SOON)
+        assert again.error.fault is StoreFault.CONFLICT
+
+    run_in_reactor(scenario())
+
+
+def test_write_is_unknown_but_took_effect_when_answer_is_lost(
+    rig: Rig, run_in_reactor: Callable[..., Any]
+) -> None:
+    async def scenario() -> None:
+        rig.fault.set("lose_answers", 0, 1)
+        lost = await rig.store.create("plans", "p", b"1", SOON)
+        assert lost.error.fault is StoreFault.UNKNOWN
+        assert (await rig.store.get("plans", "p", SOON)).ok.value == b"1"
+
+    run_in_reactor(scenario())
+
+
+def test_read_is_retried_when_store_is_down_for_one_call(
+    rig: Rig, run_in_reactor: Callable[..., Any]
+) -> None:
+    async def scenario() -> None:
+        rig.table.create("plans", "p", b"1")
+        rig.fault.set("down", 0, 1)
+        assert (await rig.store.get("plans", "p", SOON)).ok.value == b"1"
+        assert rig.store.calls.made["get"] == 2
+        assert rig.store.calls.failed["get"] == 1
+
+    run_in_reactor(scenario())
+
+
+def test_write_is_not_made_when_store_is_down(
+    rig: Rig, run_in_reactor: Callable[..., Any]
+) -> None:
+    async def scenario() -> None:
+        rig.fault.set("down", 0, None)
+        refused = await rig.store.create("plans", "p", b"1", SOON)
+        assert refused.error.fault is StoreFault.UNAVAILABLE
+        assert rig.table.list("plans") == ()
+
+    run_in_reactor(scenario())
+
+
+def test_write_is_unknown_when_store_is_slow(
+    rig: Rig, run_in_reactor: Callable[..., Any]
+) -> None:
+    async def scenario() -> None:
+        rig.fault.set("slow", 0.5, 1)
+        late = await rig.store.create("plans", "p", b"1", SHORT)
+        assert late.error.fault is StoreFault.UNKNOWN
+
+    run_in_reactor(scenario())
+
+
+def test_watch_returns_change_when_object_is_written(
+    rig: Rig, run_in_reactor: Callable[..., Any]
+) -> None:
+    async def scenario() -> None:
+        watched = Deferred.fromCoroutine(rig.store.watch("plans", Version(0), SOON))
+        written = await rig.store.create("plans", "p", b"1", SOON)
+        changes = (await watched).ok
+        assert changes.objects == (written.ok,)
+        assert changes.version == written.ok.version
+
+    run_in_reactor(scenario())
+
+
+def test_watch_returns_nothing_when_time_is_over(
+    rig: Rig, run_in_reactor: Callable[..., Any]
+) -> None:
+    async def scenario() -> None:
+        assert (await rig.store.watch("plans", Version(0), SHORT)).ok.objects == ()
+
+    run_in_reactor(scenario())
