--- /dev/null
+++ b/packages/policies/src/sycamorenotch_policies/_worker_state.py
@@ -0,0 +1,167 @@
+"""What one instance knows about one upstream worker."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import final
+
+from sycamorenotch_kernel import Worker
+from sycamorenotch_policies._outcomes import Outcome
+
+LATENCY_WEIGHT = 0.2
+FAILURE_WEIGHT = 0.2
+FAILURE_PENALTY = 10.0
+CONTRADICTION_FACTOR = 0.5
+CONSISTENCY_STEP = 0.1
+COLD_SHARE = 0.1
+ANSWERS_AGAINST_FULL = 3
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a worker says about its load.
+
+    :param at: moment on the monotonic clock at which it was read.
+    """
+
+    worker: str
+    running: int
+    slots: int
+    at: timedelta
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the worker says that it has no free slot."""
+        return self.running >= self.slots
+
+
+@final
+class WorkerState:
+    """Outcomes and reports of one worker.
+
+    :param connections: this instance's share of the worker's connections.
+    :param stale_after: age at which a load report has lost all weight.
+    :param cold_start: time over which a new worker is ramped up.
+    """
+
+    def __init__(
+        self,
+        worker: Worker,
+        connections: int,
+        service_time: timedelta,
+        stale_after: timedelta,
+        cold_start: timedelta,
+    ) -> None:
+        self.worker = worker
+        self.connections = connections
+        self.in_flight = 0
+        self.leaving_since: timedelta | None = None
+        self.ejected_until: timedelta | None = None
+        self.ejections = 0
+        self.probing = False
+        self.failures_in_row = 0
+        self.cold_since: timedelta | None = None
+        self.trust = 1.0
+        self._latency_s = service_time.total_seconds()
+        self._failure_share = 0.0
+        self._last_cause: str | None = None
+        self._report: LoadReport | None = None
+        self._answers_since_report = 0
+        self._stale_after = stale_after
+        self._cold_start = cold_start
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the worker may get new work at all."""
+        return self.leaving_since is None and self.ejected_until is None
+
+    def has_room(self, now: timedelta) -> bool:
+        """Return whether one more request keeps the worker's bounds."""
+        if self.probing:
+            return self.in_flight == 0
+        warm = max(1.0, self.worker.slots * self._ramp(now))
+        bound = self.connections if self.cold_since is None else warm
+        return self.in_flight < min(bound, self.connections)
+
+    def score(self, now: timedelta) -> float:
+        """Return the expected cost of one more request; lower is better."""
+        elsewhere = self._reported_elsewhere(now)
+        load = (self.in_flight + 1 + elsewhere) / self.worker.slots
+        penalty = 1 + FAILURE_PENALTY * self._failure_share
+        return load * self._latency_s * penalty / self._ramp(now)
+
+    def finish(self, latency: timedelta, outcome: Outcome, cause: str | None) -> None:
+        """Count the end of an attempt.
+
+        :param cause: signature of the request. Failures of one and the same
+            request in a row count once against the worker.
+        """
+        self.in_flight -= 1
+        if outcome is Outcome.CANCELLED:
+            return
+        failed = outcome.is_failure
+        self._failure_share += FAILURE_WEIGHT * (failed - self._failure_share)
+        if not failed:
+            self.failures_in_row = 0
+            self._last_cause = None
+        elif cause is None or cause != self._last_cause:
+            self.failures_in_row += 1
+            self._last_cause = cause
+        if outcome is Outcome.ANSWERED:
+            self._answers_since_report += 1
+            change = latency.total_seconds() - self._latency_s
+            self._latency_s += LATENCY_WEIGHT * change
+
+    def contradicts_room(self, now: timedelta) -> bool:
+        """Return whether a worker that shed work had reported free slots."""
+        report = self._report
+        if report is None or report.is_full or not self._weight(now):
+            return False
+        self.trust *= CONTRADICTION_FACTOR
+        return True
+
+    def accept_report(self, report: LoadReport) -> bool:
+        """Replace the load report.
+
+        :return: whether it contradicts the outcomes since the last one.
+        """
+        answered = self._answers_since_report
+        # A full worker sheds, so that several answers in time refute a report
+        # that says full before and after them.
+        was_full = self._report is not None and self._report.is_full
+        refuted = was_full and report.is_full and answered >= ANSWERS_AGAINST_FULL
+        self._report = report
+        self._answers_since_report = 0
+        if refuted:
+            self.trust *= CONTRADICTION_FACTOR
+        else:
+            self.trust = min(1.0, self.trust + CONSISTENCY_STEP)
+        return refuted
+
+    def start_cold(self, now: timedelta) -> None:
+        """Start the ramp of a worker that is new or has come back."""
+        self.cold_since = now
+        self._failure_share = 0.0
+        self.failures_in_row = 0
+
+    def _reported_elsewhere(self, now: timedelta) -> float:
+        if self._report is None:
+            return 0.0
+        return self._weight(now) * max(0, self._report.running - self.in_flight)
+
+    def _weight(self, now: timedelta) -> float:
+        if self._report is None:
+            return 0.0
+        age = now - self._report.at
+        return self.trust * max(0.0, 1 - age / self._stale_after)
+
+    def _ramp(self, now: timedelta) -> float:
+        if self.cold_since is None:
+            return 1.0
+        share = (now - self.cold_since) / self._cold_start
+        if share >= 1:
+            self.cold_since = None
+            return 1.0
+        return max(COLD_SHARE, share)
