--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -47,6 +47,15 @@
 from sycamorenotch_kernel._invariants import InvariantError
 from sycamorenotch_kernel._invariants import InvariantMonitor
 from sycamorenotch_kernel._invariants import InvariantViolated
+from sycamorenotch_kernel._messages import ConfigurationPush
+from sycamorenotch_kernel._messages import ConfigurationRequest
+from sycamorenotch_kernel._messages import Heartbeat
+from sycamorenotch_kernel._messages import ListingPush
+from sycamorenotch_kernel._messages import ListingRequest
+from sycamorenotch_kernel._messages import MemberState
+from sycamorenotch_kernel._messages import Message
+from sycamorenotch_kernel._messages import Rumour
+from sycamorenotch_kernel._messages import message
 from sycamorenotch_kernel._plan import Grant
 from sycamorenotch_kernel._plan import OutstandingGrant
 from sycamorenotch_kernel._plan import Plan
@@ -110,6 +119,8 @@
     "Cancellable",
     "Changes",
     "Clock",
+    "ConfigurationPush",
+    "ConfigurationRequest",
     "DecisionId",
     "DecisionKind",
     "DecisionLog",
@@ -125,6 +136,7 @@
     "Failure",
     "Grant",
     "Headers",
+    "Heartbeat",
     "IPNetwork",
     "IdentifierSource",
     "InstanceId",
@@ -135,7 +147,11 @@
     "InvariantViolated",
     "Link",
     "ListedInstance",
+    "ListingPush",
+    "ListingRequest",
     "ManualClock",
+    "MemberState",
+    "Message",
     "Objective",
     "OutstandingGrant",
     "Plan",
@@ -151,6 +167,7 @@
     "RegistryEntry",
     "RegistryError",
     "Route",
+    "Rumour",
     "Scheduler",
     "Service",
     "Severity",
@@ -178,6 +195,7 @@
     "health_signals",
     "import_private_modules",
     "load_plugins",
+    "message",
     "message_types",
     "reports",
     "retry_rules",
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -20,7 +20,6 @@
 from sycamorenotch_policies._choice import UpstreamChoice
 from sycamorenotch_policies._concurrency import ConcurrencyLimit
 from sycamorenotch_policies._fleet import FleetMember
-from sycamorenotch_policies._fleet import MemberState
 from sycamorenotch_policies._lookup import LookupAnswer
 from sycamorenotch_policies._lookup import LookupTable
 from sycamorenotch_policies._outcomes import Outcome
@@ -67,7 +66,6 @@
     "LookupAnswer",
     "LookupTable",
     "MakePlan",
-    "MemberState",
     "NearestRegion",
     "NeverRetry",
     "Outcome",
--- a/packages/policies/src/sycamorenotch_policies/_fleet.py
+++ b/packages/policies/src/sycamorenotch_policies/_fleet.py
@@ -4,22 +4,10 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
-from enum import Enum
-from enum import unique
 from typing import final
 
 from sycamorenotch_kernel import InstanceId
-
-
-@final
-@unique
-class MemberState(Enum):
-    """State of an instance as one daemon sees it."""
-
-    LIVE = "live"
-    LEAVING = "leaving"
-    SUSPECT = "suspect"
-    GONE = "gone"
+from sycamorenotch_kernel import MemberState
 
 
 @final
--- /dev/null
+++ b/packages/workbench/src/sycamorenotch_workbench/_control.py
@@ -0,0 +1,130 @@
+"""Daemons that run only their control components, for tests and slopes."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+from typing import Any
+from typing import final
+
+from sycamorenotch_daemon import Node
+from sycamorenotch_daemon._clock import ReactorClock
+from sycamorenotch_daemon._node import Component
+from sycamorenotch_daemon._store_guard import StoreCalls
+from sycamorenotch_daemon._store_guard import StoreGuard
+from sycamorenotch_documents import DaemonSettings
+from sycamorenotch_kernel import EventList
+from sycamorenotch_kernel import InstanceId
+from sycamorenotch_kernel import InstanceState
+from sycamorenotch_kernel import InvariantMonitor
+from sycamorenotch_kernel import ListedInstance
+from sycamorenotch_kernel import RecentDecisions
+from sycamorenotch_kernel import components
+from sycamorenotch_standins import ObjectTable
+from sycamorenotch_standins._memory import MemoryStore
+
+CONTROL = ("peers", "membership", "configuration", "instances")
+ENVIRONMENT = "production"
+PEER_KEY = b"key of the workbench"
+STORE_CALLS_PER_SECOND = 20
+
+
+@final
+@dataclass
+class ControlDaemon:
+    """The control components of one daemon on a store of its own adapter."""
+
+    node: Node
+    store: MemoryStore
+    sink: EventList
+    components: list[Component] = field(default_factory=list)
+
+    def build(self, names: Sequence[str]) -> None:
+        """Build components in the order of their names."""
+        self.components = [components.get(name)(self.node) for name in names]
+
+    async def start(self) -> None:
+        """Start the components in order."""
+        for component in self.components:
+            await component.start()
+
+    async def stop(self) -> None:
+        """Stop the components in the opposite order."""
+        self.node.stopping = True
+        for component in reversed(self.components):
+            await component.stop()
+
+    @property
+    def listed(self) -> ListedInstance:
+        """The daemon's entry in the platform's list."""
+        settings = self.node.settings
+        return ListedInstance(
+            id=InstanceId(settings.instance),
+            region=settings.region,
+            data_centre=settings.data_centre,
+            callers=settings.callers,
+            peers=settings.peers,
+            state=InstanceState.LIVE,
+            operators=settings.operators,
+        )
+
+
+def control_daemon(
+    reactor: Any,
+    table: ObjectTable,
+    name: str,
+    place: tuple[str, str],
+    port: int,
+    *,
+    key: bytes = PEER_KEY,
+    names: Sequence[str] = CONTROL,
+) -> ControlDaemon:
+    """Build a daemon of control components that listens on loopback.
+
+    :param place: region and data centre.
+    :param port: port of the peers' listener.
+    """
+    clock, random, sink = ReactorClock(reactor), Random(name), EventList()
+    store = MemoryStore(table, reactor)
+    guard = StoreGuard(store, reactor, clock, random, sink, STORE_CALLS_PER_SECOND)
+    node = Node(
+        settings=_settings(name, place, port),
+        reactor=reactor,
+        clock=clock,
+        random=random,
+        sink=sink,
+        decisions=RecentDecisions(),
+        invariants=InvariantMonitor(sink, strict=True),
+        store=guard,
+        directory=guard,
+        token="",
+        peer_key=key,
+    )
+    node.provide(StoreCalls, guard.calls)
+    daemon = ControlDaemon(node, store, sink)
+    daemon.build(names)
+    return daemon
+
+
+def _settings(name: str, place: tuple[str, str], port: int) -> DaemonSettings:
+    region, data_centre = place
+    return DaemonSettings(
+        instance=name,
+        environment=ENVIRONMENT,
+        region=region,
+        data_centre=data_centre,
+        callers=f"127.0.0.1:{port}",
+        peers=f"127.0.0.1:{port}",
+        operators="127.0.0.1:0",
+        callers_endpoint="",
+        peers_endpoint="",
+        operators_endpoint="",
+        store_adapter="memory",
+        store_url="",
+        calls_per_second=STORE_CALLS_PER_SECOND,
+        operator_token_file="",
+        peer_key_file="",
+        log_file="",
+    )
