Decide about claims in a state machine without input or output

A request that is not idempotent needs the right to run before it is sent. The protocol takes typed inputs and gives typed commands; its steps fill the claim step registry, and the life of an attempt has one way into the dispatched state and none back. A claim is only ever released by the attempt that wrote it, after the later stages have returned.

--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -18,6 +18,30 @@
 from sycamorenotch_policies._choice import RoundRobin
 from sycamorenotch_policies._choice import TwoChoices
 from sycamorenotch_policies._choice import UpstreamChoice
+from sycamorenotch_policies._claim_messages import ClaimCommand
+from sycamorenotch_policies._claim_messages import ClaimConflict
+from sycamorenotch_policies._claim_messages import ClaimFound
+from sycamorenotch_policies._claim_messages import ClaimInput
+from sycamorenotch_policies._claim_messages import ClaimMissing
+from sycamorenotch_policies._claim_messages import ClaimStoreFailed
+from sycamorenotch_policies._claim_messages import ClaimUnreadable
+from sycamorenotch_policies._claim_messages import ClaimWaited
+from sycamorenotch_policies._claim_messages import ClaimWriteLost
+from sycamorenotch_policies._claim_messages import ClaimWritten
+from sycamorenotch_policies._claim_messages import DispatchCall
+from sycamorenotch_policies._claim_messages import DispatchEnded
+from sycamorenotch_policies._claim_messages import FinishCall
+from sycamorenotch_policies._claim_messages import ReadClaim
+from sycamorenotch_policies._claim_messages import WaitForClaim
+from sycamorenotch_policies._claim_messages import WriteClaim
+from sycamorenotch_policies._claim_protocol import ClaimProtocol
+from sycamorenotch_policies._claims import BODY_LIMIT_BYTES
+from sycamorenotch_policies._claims import Claim
+from sycamorenotch_policies._claims import ClaimRequest
+from sycamorenotch_policies._claims import ClaimState
+from sycamorenotch_policies._claims import Moment
+from sycamorenotch_policies._claims import RecordedAnswer
+from sycamorenotch_policies._claims import fingerprint
 from sycamorenotch_policies._concurrency import ConcurrencyLimit
 from sycamorenotch_policies._fleet import FleetMember
 from sycamorenotch_policies._lookup import LookupAnswer
@@ -47,6 +71,7 @@
 from sycamorenotch_policies._worker_table import WorkerTable
 
 __all__ = [
+    "BODY_LIMIT_BYTES",
     "AdmissionDecision",
     "AdmissionDecisions",
     "AdmissionDiscipline",
@@ -56,9 +81,26 @@
     "BudgetedRetry",
     "Choice",
     "ChoiceSetup",
+    "Claim",
+    "ClaimCommand",
+    "ClaimConflict",
+    "ClaimFound",
+    "ClaimInput",
+    "ClaimMissing",
+    "ClaimProtocol",
+    "ClaimRequest",
+    "ClaimState",
+    "ClaimStoreFailed",
+    "ClaimUnreadable",
+    "ClaimWaited",
+    "ClaimWriteLost",
+    "ClaimWritten",
     "ConcurrencyLimit",
     "Demand",
+    "DispatchCall",
+    "DispatchEnded",
     "FailedAttempt",
+    "FinishCall",
     "FleetMember",
     "GiveUp",
     "InstanceContact",
@@ -66,6 +108,7 @@
     "LookupAnswer",
     "LookupTable",
     "MakePlan",
+    "Moment",
     "NearestRegion",
     "NeverRetry",
     "Outcome",
@@ -74,6 +117,8 @@
     "Quarantine",
     "Queued",
     "RankedAdmission",
+    "ReadClaim",
+    "RecordedAnswer",
     "Refused",
     "Retry",
     "RetryDecision",
@@ -86,8 +131,11 @@
     "TwoChoices",
     "UnlimitedAdmission",
     "UpstreamChoice",
+    "WaitForClaim",
     "WorkerReport",
     "WorkerTable",
+    "WriteClaim",
+    "fingerprint",
     "make_plan",
     "sign_request",
 ]
--- /dev/null
+++ b/packages/policies/src/sycamorenotch_policies/_claim_protocol.py
@@ -0,0 +1,157 @@
+"""The claim protocol: typed inputs in, typed commands out."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from random import Random
+from typing import Protocol
+from typing import final
+
+from expression import Error
+
+from sycamorenotch_kernel import ErrorKind
+from sycamorenotch_kernel import Failure
+from sycamorenotch_kernel import Ran
+from sycamorenotch_kernel import Version
+from sycamorenotch_kernel import claim_steps
+from sycamorenotch_policies._claim_life import LifeRecord
+from sycamorenotch_policies._claim_life import new_claim_life
+from sycamorenotch_policies._claim_messages import ClaimCommand
+from sycamorenotch_policies._claim_messages import ClaimConflict
+from sycamorenotch_policies._claim_messages import ClaimFound
+from sycamorenotch_policies._claim_messages import ClaimInput
+from sycamorenotch_policies._claim_messages import ClaimMissing
+from sycamorenotch_policies._claim_messages import ClaimStoreFailed
+from sycamorenotch_policies._claim_messages import ClaimUnreadable
+from sycamorenotch_policies._claim_messages import ClaimWaited
+from sycamorenotch_policies._claim_messages import ClaimWriteLost
+from sycamorenotch_policies._claim_messages import ClaimWritten
+from sycamorenotch_policies._claim_messages import DispatchEnded
+from sycamorenotch_policies._claim_messages import FinishCall
+from sycamorenotch_policies._claim_messages import WriteClaim
+from sycamorenotch_policies._claims import Claim
+from sycamorenotch_policies._claims import ClaimRequest
+from sycamorenotch_policies._claims import ClaimState
+from sycamorenotch_policies._claims import Moment
+
+STEP_NAMES: dict[type, str] = {
+    ClaimUnreadable: "unreadable",
+    ClaimMissing: "missing",
+    ClaimWritten: "written",
+    ClaimConflict: "conflict",
+    ClaimWriteLost: "write-lost",
+    ClaimStoreFailed: "store-failed",
+    ClaimWaited: "waited",
+    DispatchEnded: "dispatch-ended",
+}
+
+
+class ClaimStep(Protocol):
+    """Decides what follows one kind of input."""
+
+    def __call__(
+        self, protocol: ClaimProtocol, event: ClaimInput, now: Moment
+    ) -> ClaimCommand:
+        """Return the next command."""
+        ...
+
+
+@final
+class ClaimProtocol:
+    """One attempt to run a request at most once.
+
+    :param request: the request.
+    :param random: source of jitter.
+    """
+
+    def __init__(self, request: ClaimRequest, random: Random) -> None:
+        self.request = request
+        self.random = random
+        self.record = LifeRecord(rival=request.seen)
+        self.life = new_claim_life(self.record)
+        self.claim: Claim | None = None
+        self.version: Version | None = None
+        self.failures = 0
+        self.waits = 0
+
+    def start(self, now: Moment) -> ClaimCommand:
+        """Return the first command."""
+        return self.write(None, now)
+
+    def feed(self, event: ClaimInput, now: Moment) -> ClaimCommand:
+        """Return the command that follows an input."""
+        step: ClaimStep = claim_steps.get(self._step_name(event))
+        return step(self, event, now)
+
+    def remaining(self, now: Moment) -> timedelta:
+        """Return the time to the deadline."""
+        return self.request.deadline - now.monotonic
+
+    def write(self, expected: Version | None, now: Moment) -> ClaimCommand:
+        """Return the command that writes the attempt's claim."""
+        if self.remaining(now) <= timedelta():
+            return self.refuse(
+                ErrorKind.DEADLINE_PASSED, "the deadline passed before the claim"
+            )
+        if self.claim is None:
+            self.claim = self._new_claim(now)
+        self.life.write()
+        return WriteClaim(self.claim, expected)
+
+    def refuse(
+        self,
+        kind: ErrorKind,
+        detail: str,
+        ran: Ran | None = None,
+        retry_after: timedelta | None = None,
+    ) -> FinishCall:
+        """Return the command that refuses a request that was not handed on.
+
+        A claim that may have been written is released, so that a later attempt
+        does not take it for one that may have run. While another attempt may
+        have run, a refusal does not state that the request did not.
+        """
+        self.life.close()
+        if ran is None:
+            ran = Ran.UNKNOWN if self.record.rival else Ran.NO
+        settle = self.claim if self.record.may_be_written else None
+        return FinishCall(
+            Error(Failure(kind, detail, ran, retry_after)),
+            None if settle is None else settle.released(),
+            self.version,
+        )
+
+    def abandon(self) -> FinishCall | None:
+        """Return how to settle an attempt that was interrupted.
+
+        :return: none if the attempt had been answered.
+        """
+        if self.record.closed:
+            return None
+        kind, ran = ErrorKind.CANCELLED, Ran.NO
+        settle = None if self.claim is None else self.claim.released()
+        if self.record.may_have_run and self.claim is not None:
+            ran, settle = Ran.UNKNOWN, self.claim.unknown()
+        failure = Failure(kind, "the attempt was interrupted", ran)
+        return FinishCall(Error(failure), settle, self.version)
+
+    def _new_claim(self, now: Moment) -> Claim:
+        due = now.wall + self.remaining(now)
+        return Claim(
+            fingerprint=self.request.fingerprint,
+            attempt=self.request.attempt,
+            instance=self.request.instance,
+            state=ClaimState.HELD,
+            created=now.wall,
+            due=due,
+            expires=due + self.request.lifetime,
+        )
+
+    def _step_name(self, event: ClaimInput) -> str:
+        if not isinstance(event, ClaimFound):
+            return STEP_NAMES[type(event)]
+        if event.claim.attempt == self.request.attempt:
+            return "found-own"
+        if event.claim.fingerprint != self.request.fingerprint:
+            return "found-other-request"
+        return f"found-{event.claim.state.value}"
