Claim the key of a call before it is dispatched

Nothing kept a redemption from running twice. The stage creates a claim with a unique attempt identifier, asserts I6 right before it hands the call on and I5 on the answer, and settles the claim with a conditional update. What the store does not confirm is settled later from a bounded queue with back-off.

--- a/packages/daemon/src/sycamorenotch_daemon/_calls.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_calls.py
@@ -29,7 +29,7 @@
 class CallPath:
     """The stages of a call, in order."""
 
-    after: ClassVar[tuple[str, ...]] = ("instances",)
+    after: ClassVar[tuple[str, ...]] = ("instances", "claims")
 
     def __init__(self, node: Node) -> None:
         self._node = node
--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_claim_stage.py
@@ -0,0 +1,189 @@
+"""The stage that lets a non-idempotent request run at most once."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from datetime import timedelta
+from typing import ClassVar
+from typing import final
+
+from expression import Error
+from twisted.internet.task import deferLater
+
+from sycamorenotch_daemon._claim_events import ClaimAnswered
+from sycamorenotch_daemon._claim_events import ClaimHeld
+from sycamorenotch_daemon._claim_events import ClaimUnreadableFound
+from sycamorenotch_daemon._claim_settler import ClaimSettler
+from sycamorenotch_daemon._claim_store import ClaimObject
+from sycamorenotch_daemon._claim_store import claim_object
+from sycamorenotch_daemon._node import Node
+from sycamorenotch_kernel import Call
+from sycamorenotch_kernel import CallResult
+from sycamorenotch_kernel import ErrorKind
+from sycamorenotch_kernel import Failure
+from sycamorenotch_kernel import Invariant
+from sycamorenotch_kernel import Proceed
+from sycamorenotch_kernel import Ran
+from sycamorenotch_kernel import call_stages
+from sycamorenotch_policies import ClaimCommand
+from sycamorenotch_policies import ClaimInput
+from sycamorenotch_policies import ClaimProtocol
+from sycamorenotch_policies import ClaimRequest
+from sycamorenotch_policies import ClaimUnreadable
+from sycamorenotch_policies import ClaimWaited
+from sycamorenotch_policies import DispatchCall
+from sycamorenotch_policies import DispatchEnded
+from sycamorenotch_policies import FinishCall
+from sycamorenotch_policies import Moment
+from sycamorenotch_policies import ReadClaim
+from sycamorenotch_policies import WaitForClaim
+from sycamorenotch_policies import fingerprint
+
+CALL_TIMEOUT = timedelta(seconds=1)
+SETTLE_TIMEOUT = timedelta(milliseconds=500)
+MAXIMUM_REMEMBERED = 10_000
+
+
+@call_stages.register("claim")
+@final
+class ClaimStage:
+    """Claims the idempotency key of a call before it is handed on."""
+
+    after: ClassVar[tuple[str, ...]] = ("quarantine", "admission")
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        # Names of claims whose request may have run through this instance.
+        self._may_have_run: OrderedDict[str, None] = OrderedDict()
+
+    async def run(self, call: Call, proceed: Proceed) -> CallResult:
+        """Run the claim protocol for a call that is not idempotent."""
+        if call.route.idempotent:
+            return await proceed(call)
+        if call.key is None:
+            failure = Failure(ErrorKind.BAD_IDEMPOTENCY_KEY, "a key is needed")
+            return Error(failure)
+        place = claim_object(self._node.store, call.route.service, call.key)
+        protocol = self._protocol(call, place)
+        try:
+            finish = await self._converse(call, proceed, place, protocol)
+        finally:
+            self._settle_interrupted(place, protocol)
+        self._remember(place, protocol)
+        return await self._finish(call, place, protocol, finish)
+
+    def _protocol(self, call: Call, place: ClaimObject) -> ClaimProtocol:
+        current = self._node.configuration.current
+        assert current is not None
+        request = ClaimRequest(
+            fingerprint=fingerprint(call.method, call.path, call.body),
+            attempt=self._node.ids.attempt(),
+            instance=self._node.settings.instance,
+            deadline=call.deadline,
+            lifetime=current.environment.bounds.claim_lifetime,
+            seen=place.name in self._may_have_run,
+        )
+        return ClaimProtocol(request, self._node.random)
+
+    async def _converse(
+        self,
+        call: Call,
+        proceed: Proceed,
+        place: ClaimObject,
+        protocol: ClaimProtocol,
+    ) -> FinishCall:
+        command = protocol.start(self._moment())
+        while not isinstance(command, FinishCall):
+            if isinstance(command, DispatchCall):
+                event = await self._dispatch(call, proceed, protocol)
+            else:
+                event = await self._perform(call, place, command)
+            if isinstance(event, ClaimUnreadable):
+                self._node.sink.emit(ClaimUnreadableFound(call.id, event.detail))
+            command = protocol.feed(event, self._moment())
+        return command
+
+    async def _perform(
+        self, call: Call, place: ClaimObject, command: ClaimCommand
+    ) -> ClaimInput:
+        if isinstance(command, WaitForClaim):
+            await deferLater(self._node.reactor, command.delay.total_seconds())
+            return ClaimWaited()
+        remaining = call.deadline - self._node.clock.monotonic()
+        timeout = max(min(CALL_TIMEOUT, remaining), timedelta(milliseconds=1))
+        if isinstance(command, ReadClaim):
+            return await place.read(timeout)
+        assert not isinstance(command, DispatchCall | FinishCall)
+        return await place.write(command.claim, command.expected, timeout)
+
+    async def _dispatch(
+        self, call: Call, proceed: Proceed, protocol: ClaimProtocol
+    ) -> ClaimInput:
+        now = self._node.clock.monotonic()
+        once = protocol.record.dispatched and protocol.version is not None
+        detail = f"attempt {protocol.request.attempt} of call {call.id}"
+        if not self._node.invariants.holds(
+            Invariant.I6, once and now < call.deadline, detail
+        ):
+            refusal = Failure(ErrorKind.INVARIANT, detail, Ran.NO)
+            return DispatchEnded(Error(refusal))
+        attempt = protocol.request.attempt
+        call.note("The call holds the claim for its key.", attempt=attempt)
+        self._node.sink.emit(ClaimHeld(call.id, attempt))
+        return DispatchEnded(await proceed(call))
+
+    async def _finish(
+        self,
+        call: Call,
+        place: ClaimObject,
+        protocol: ClaimProtocol,
+        finish: FinishCall,
+    ) -> CallResult:
+        if finish.settle is not None:
+            remaining = call.deadline - self._node.clock.monotonic()
+            await self._node.require(ClaimSettler).settle(
+                place, finish.settle, finish.expected, min(SETTLE_TIMEOUT, remaining)
+            )
+        if not protocol.record.dispatched:
+            self._report_answer(call, finish.result)
+        return self._checked(call, protocol, finish.result)
+
+    def _checked(
+        self, call: Call, protocol: ClaimProtocol, result: CallResult
+    ) -> CallResult:
+        if result.is_ok() or result.error.stated_ran is not Ran.NO:
+            return result
+        detail = f"call {call.id} was handed on and may have run"
+        if self._node.invariants.holds(
+            Invariant.I5, not protocol.record.may_have_run, detail
+        ):
+            return result
+        return Error(Failure(ErrorKind.INVARIANT, detail, Ran.UNKNOWN))
+
+    def _report_answer(self, call: Call, result: CallResult) -> None:
+        outcome = "recorded answer" if result.is_ok() else result.error.kind.value
+        call.note(f"The claim for the key decided the answer: {outcome}.")
+        self._node.sink.emit(ClaimAnswered(call.id, outcome))
+
+    def _settle_interrupted(self, place: ClaimObject, protocol: ClaimProtocol) -> None:
+        finish = protocol.abandon()
+        if finish is None:
+            return
+        self._remember(place, protocol)
+        if finish.settle is not None:
+            self._node.require(ClaimSettler).settle_later(
+                place, finish.settle, finish.expected
+            )
+
+    def _remember(self, place: ClaimObject, protocol: ClaimProtocol) -> None:
+        if protocol.record.may_have_run:
+            self._may_have_run[place.name] = None
+            self._may_have_run.move_to_end(place.name)
+        elif protocol.record.dispatched:
+            self._may_have_run.pop(place.name, None)
+        if len(self._may_have_run) > MAXIMUM_REMEMBERED:
+            self._may_have_run.popitem(last=False)
+
+    def _moment(self) -> Moment:
+        clock = self._node.clock
+        return Moment(clock.monotonic(), clock.now())
--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_claim_store.py
@@ -0,0 +1,89 @@
+"""Reads and writes one claim and names the outcome for the protocol."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import final
+
+from expression import Result
+
+from sycamorenotch_daemon._claim_codec import claim_place
+from sycamorenotch_daemon._claim_codec import decode_claim
+from sycamorenotch_daemon._claim_codec import encode_claim
+from sycamorenotch_kernel import Store
+from sycamorenotch_kernel import StoredObject
+from sycamorenotch_kernel import StoreError
+from sycamorenotch_kernel import StoreFault
+from sycamorenotch_kernel import Version
+from sycamorenotch_policies import Claim
+from sycamorenotch_policies import ClaimConflict
+from sycamorenotch_policies import ClaimFound
+from sycamorenotch_policies import ClaimMissing
+from sycamorenotch_policies import ClaimStoreFailed
+from sycamorenotch_policies import ClaimUnreadable
+from sycamorenotch_policies import ClaimWriteLost
+from sycamorenotch_policies import ClaimWritten
+
+ReadOutcome = ClaimFound | ClaimMissing | ClaimUnreadable | ClaimStoreFailed
+WriteOutcome = ClaimWritten | ClaimConflict | ClaimWriteLost | ReadOutcome
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ClaimObject:
+    """The place of one claim in the store."""
+
+    store: Store
+    kind: str
+    name: str
+
+    async def read(self, timeout: timedelta) -> ReadOutcome:
+        """Read the claim."""
+        found = await self.store.get(self.kind, self.name, timeout)
+        if found.is_ok():
+            return _found(found.ok)
+        if found.error.fault is StoreFault.NOT_FOUND:
+            return ClaimMissing()
+        return ClaimStoreFailed(_detail(found.error))
+
+    async def write(
+        self, claim: Claim, expected: Version | None, timeout: timedelta
+    ) -> WriteOutcome:
+        """Create the claim, or replace it if it has the expected version."""
+        value = encode_claim(claim)
+        if expected is None:
+            created = await self.store.create(self.kind, self.name, value, timeout)
+            return _written(created)
+        return _written(
+            await self.store.update(self.kind, self.name, value, expected, timeout)
+        )
+
+
+def claim_object(store: Store, service: str, key: str) -> ClaimObject:
+    """Return the place of the claim for a key of a service."""
+    return ClaimObject(store, *claim_place(service, key))
+
+
+def _found(stored: StoredObject) -> ClaimFound | ClaimUnreadable:
+    decoded = decode_claim(stored.value)
+    if decoded.is_error():
+        return ClaimUnreadable(decoded.error)
+    return ClaimFound(decoded.ok, stored.version)
+
+
+def _written(result: Result[StoredObject, StoreError]) -> WriteOutcome:
+    if result.is_ok():
+        return ClaimWritten(result.ok.version)
+    error = result.error
+    if error.fault is StoreFault.CONFLICT:
+        return ClaimConflict() if error.current is None else _found(error.current)
+    if error.fault is StoreFault.NOT_FOUND:
+        return ClaimMissing()
+    if error.fault is StoreFault.UNKNOWN:
+        return ClaimWriteLost(_detail(error))
+    return ClaimStoreFailed(_detail(error))
+
+
+def _detail(error: StoreError) -> str:
+    return f"{error.fault.value}: {error.detail}"
--- a/packages/daemon/src/sycamorenotch_daemon/_dispatch.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_dispatch.py
@@ -35,7 +35,7 @@
 class DispatchStage:
     """Sends a call to one worker of its service."""
 
-    after: ClassVar[tuple[str, ...]] = ()
+    after: ClassVar[tuple[str, ...]] = ("claim",)
 
     def __init__(self, node: Node) -> None:
         self._node = node
