Keep author, history and drains in the environment's object

Cause: a promotion has to tell the loser of a race who won and when, and a drain has to be in force everywhere. Drains ride on the watch that the document has already, which costs no further waiting call. A lost answer is resolved by reading back the attempt identifier. The operators' endpoints are registered functions without any encoding; one front end serves them. The registries of front ends and of error answers are filled.

--- a/packages/daemon/src/sycamorenotch_daemon/_callers.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_callers.py
@@ -27,6 +27,7 @@
 from sycamorenotch_kernel import Failure
 from sycamorenotch_kernel import Route
 from sycamorenotch_kernel import components
+from sycamorenotch_kernel import front_ends
 from sycamorenotch_transport import HttpListener
 
 MAXIMUM_TIMEOUT = timedelta(hours=1)
@@ -35,6 +36,7 @@
 
 
 @components.register("callers")
+@front_ends.register("callers")
 @final
 class CallersFrontEnd:
     """Serves callers over HTTP."""
--- a/packages/daemon/src/sycamorenotch_daemon/_configuration.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_configuration.py
@@ -11,6 +11,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from sycamorenotch_daemon._document_codec import InvalidEnvelopeError
+from sycamorenotch_daemon._document_codec import decode_document
 from sycamorenotch_daemon._events import ConfigurationInvalid
 from sycamorenotch_daemon._events import ConfigurationUnavailable
 from sycamorenotch_daemon._node import InForce
@@ -81,10 +83,18 @@
     :return: whether the document is in force now.
     """
     try:
-        text = stored.value.decode()
-        environment = parse_environment(text)
-    except (InvalidFileError, UnicodeDecodeError) as exc:
+        document = decode_document(stored.value)
+        environment = parse_environment(document.text)
+    except (InvalidFileError, InvalidEnvelopeError) as exc:
         node.sink.emit(ConfigurationInvalid(stored.version, str(exc)))
         return False
     digest = hashlib.sha256(stored.value).hexdigest()
-    return node.configuration.put(InForce(environment, stored.version, digest, text))
+    return node.configuration.put(
+        InForce(
+            environment=environment,
+            generation=stored.version,
+            digest=digest,
+            text=stored.value.decode(),
+            drains=document.drains,
+        )
+    )
--- a/packages/daemon/src/sycamorenotch_daemon/_dispatch.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_dispatch.py
@@ -20,6 +20,7 @@
 from sycamorenotch_kernel import Call
 from sycamorenotch_kernel import CallAnswer
 from sycamorenotch_kernel import CallResult
+from sycamorenotch_kernel import Drains
 from sycamorenotch_kernel import ErrorKind
 from sycamorenotch_kernel import Failure
 from sycamorenotch_kernel import Proceed
@@ -59,7 +60,9 @@
     def _choose(self, call: Call) -> Worker | None:
         current = self._node.configuration.current
         assert current is not None
-        workers = current.environment.workers_of(call.route.service)
+        drains = self._node.require(Drains)
+        listed = current.environment.workers_of(call.route.service)
+        workers = [w for w in listed if not drains.covers_worker(w)]
         near = [w for w in workers if w.region == self._node.settings.region]
         return self._node.random.choice(near or workers) if workers else None
 
--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_document_endpoints.py
@@ -0,0 +1,132 @@
+"""Endpoints that read and write environment documents."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from datetime import datetime
+from typing import final
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from sycamorenotch_daemon._document_codec import Revision
+from sycamorenotch_daemon._document_codec import StoredDocument
+from sycamorenotch_daemon._document_store import DocumentStore
+from sycamorenotch_daemon._document_store import VersionedDocument
+from sycamorenotch_daemon._document_store import conflict
+from sycamorenotch_daemon._node import Node
+from sycamorenotch_daemon._operator_endpoints import OperatorRequest
+from sycamorenotch_daemon._operator_endpoints import OperatorResult
+from sycamorenotch_daemon._operator_endpoints import endpoint
+from sycamorenotch_documents import InvalidFileError
+from sycamorenotch_documents import parse_environment
+from sycamorenotch_kernel import Drain
+from sycamorenotch_kernel import ErrorKind
+from sycamorenotch_kernel import Failure
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class DocumentBody:
+    """An environment's object, as operators see it."""
+
+    environment: str
+    generation: int
+    author: str
+    at: datetime | None
+    change: str
+    source: str
+    digest: str
+    drains: tuple[Drain, ...]
+    text: str
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class HistoryBody:
+    """The kept generations of an environment, the newest first."""
+
+    environment: str
+    revisions: tuple[Revision, ...]
+
+
+def document_body(name: str, found: VersionedDocument) -> DocumentBody:
+    """Return what operators are shown of an object."""
+    document = found.document
+    return DocumentBody(
+        environment=name,
+        generation=found.generation,
+        author=document.author,
+        at=document.at,
+        change=document.change,
+        source=document.source,
+        digest=document.digest,
+        drains=document.drains,
+        text=document.text,
+    )
+
+
+@endpoint("GET", "/v1/documents/<name>")
+async def read_document(node: Node, req: OperatorRequest) -> OperatorResult:
+    """Return the newest document of an environment."""
+    name = req.arguments["name"]
+    found = await DocumentStore(node).read(name)
+    return found.map(lambda item: document_body(name, item))
+
+
+@endpoint("GET", "/v1/documents/<name>/history")
+async def read_history(node: Node, req: OperatorRequest) -> OperatorResult:
+    """Return who wrote which generation, and when."""
+    name = req.arguments["name"]
+    found = await DocumentStore(node).read(name)
+    return found.map(lambda item: HistoryBody(name, item.history))
+
+
+@endpoint("PUT", "/v1/documents/<name>")
+async def write_document(node: Node, req: OperatorRequest) -> OperatorResult:
+    """Store a document if nobody has changed the one that was seen."""
+    name = req.arguments["name"]
+    text = _valid_text(req.body)
+    if text.is_error():
+        return Error(text.error)
+    store = DocumentStore(node)
+    seen = await _seen(store, name, req.expected)
+    if seen.is_error():
+        return Error(seen.error)
+    base = StoredDocument("") if seen.ok is None else seen.ok.document
+    changed = replace(
+        base,
+        text=text.ok,
+        author=req.author,
+        change="promotion" if req.source else "document",
+        source=req.source,
+    )
+    written = await store.write(name, changed, seen.ok)
+    return written.map(lambda item: document_body(name, item))
+
+
+async def _seen(
+    store: DocumentStore, name: str, expected: str | None
+) -> Result[VersionedDocument | None, Failure]:
+    if expected is None:
+        return Ok(None)
+    if not expected.isdecimal():
+        detail = "If-Match must hold a generation, such as 12"
+        return Error(Failure(ErrorKind.BAD_REQUEST, detail))
+    found = await store.read(name)
+    if found.is_error():
+        return Error(found.error)
+    if found.ok.generation != int(expected):
+        return Error(conflict(name, found.ok))
+    return Ok(found.ok)
+
+
+def _valid_text(body: bytes) -> Result[str, Failure]:
+    try:
+        text = body.decode()
+        parse_environment(text)
+    except (InvalidFileError, UnicodeDecodeError) as exc:
+        return Error(Failure(ErrorKind.INVALID_DOCUMENT, str(exc)))
+    return Ok(text)
--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_document_store.py
@@ -0,0 +1,136 @@
+"""Conditional writes of an environment's object."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from datetime import timedelta
+from typing import final
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from sycamorenotch_daemon._configuration import ENVIRONMENT_KIND
+from sycamorenotch_daemon._document_codec import InvalidEnvelopeError
+from sycamorenotch_daemon._document_codec import Revision
+from sycamorenotch_daemon._document_codec import StoredDocument
+from sycamorenotch_daemon._document_codec import decode_document
+from sycamorenotch_daemon._document_codec import encode_document
+from sycamorenotch_daemon._node import Node
+from sycamorenotch_kernel import ErrorKind
+from sycamorenotch_kernel import Failure
+from sycamorenotch_kernel import StoredObject
+from sycamorenotch_kernel import StoreError
+from sycamorenotch_kernel import StoreFault
+from sycamorenotch_kernel import Version
+
+CALL_TIMEOUT = timedelta(seconds=2)
+WRITE_ATTEMPTS = 3
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class VersionedDocument:
+    """An environment's object and its generation."""
+
+    generation: int
+    document: StoredDocument
+
+    @property
+    def history(self) -> tuple[Revision, ...]:
+        """This generation and the earlier ones, the newest first."""
+        return self.document.history_at(self.generation)
+
+
+@final
+class DocumentStore:
+    """Reads and writes the objects of environments.
+
+    A write carries an attempt identifier. When its answer is lost the object
+    is read back, and the identifier tells whether the write took effect.
+    """
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    async def read(self, name: str) -> Result[VersionedDocument, Failure]:
+        """Read the object of an environment."""
+        found = await self._node.store.get(ENVIRONMENT_KIND, name, CALL_TIMEOUT)
+        if found.is_error():
+            return Error(_failure(found.error, name))
+        return _decode(found.ok)
+
+    async def write(
+        self, name: str, changed: StoredDocument, seen: VersionedDocument | None
+    ) -> Result[VersionedDocument, Failure]:
+        """Write a changed object if the seen one is still the newest.
+
+        :param seen: what the change is based on, or None to create.
+        """
+        stamped = replace(
+            changed,
+            at=self._node.clock.now(),
+            attempt=self._node.ids.attempt(),
+            history=() if seen is None else seen.history,
+        )
+        for _ in range(WRITE_ATTEMPTS):
+            written = await self._send(name, encode_document(stamped), seen)
+            if written.is_ok():
+                return _decode(written.ok)
+            if written.error.fault not in (StoreFault.UNKNOWN, StoreFault.CONFLICT):
+                return Error(_failure(written.error, name))
+            settled = await self._settle(name, stamped.attempt, seen)
+            if settled is not None:
+                return settled
+        detail = "the store did not answer; it is unknown whether the write took effect"
+        return Error(Failure(ErrorKind.STORE_UNAVAILABLE, detail))
+
+    async def _send(
+        self, name: str, value: bytes, seen: VersionedDocument | None
+    ) -> Result[StoredObject, StoreError]:
+        store = self._node.store
+        if seen is None:
+            return await store.create(ENVIRONMENT_KIND, name, value, CALL_TIMEOUT)
+        expected = Version(seen.generation)
+        return await store.update(ENVIRONMENT_KIND, name, value, expected, CALL_TIMEOUT)
+
+    async def _settle(
+        self, name: str, attempt: str, seen: VersionedDocument | None
+    ) -> Result[VersionedDocument, Failure] | None:
+        """Return what became of a write, or None if it may be sent again."""
+        found = await self.read(name)
+        if found.is_error():
+            return None
+        current = found.ok
+        if any(item.attempt == attempt for item in current.history):
+            return Ok(current)
+        if seen is not None and current.generation == seen.generation:
+            return None
+        return Error(conflict(name, current))
+
+
+def conflict(name: str, current: VersionedDocument) -> Failure:
+    """Return the failure that tells a writer who was first, and when."""
+    document = current.document
+    author = document.author or "an unknown author"
+    when = "" if document.at is None else f" at {document.at.isoformat()}"
+    what = f" ({document.change})" if document.change else ""
+    detail = (
+        f"{name} is at generation {current.generation}, written by {author}{when}{what}"
+    )
+    return Failure(ErrorKind.CONFLICT, detail)
+
+
+def _decode(stored: StoredObject) -> Result[VersionedDocument, Failure]:
+    try:
+        document = decode_document(stored.value)
+    except InvalidEnvelopeError as exc:
+        return Error(Failure(ErrorKind.INVALID_DOCUMENT, str(exc)))
+    return Ok(VersionedDocument(stored.version, document))
+
+
+def _failure(error: StoreError, name: str) -> Failure:
+    if error.fault is StoreFault.NOT_FOUND:
+        return Failure(ErrorKind.NOT_FOUND, f"there is no environment {name!r}")
+    return Failure(ErrorKind.STORE_UNAVAILABLE, f"{error.fault.value}: {error.detail}")
--- a/packages/daemon/src/sycamorenotch_daemon/_instances.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_instances.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 from typing import ClassVar
 from typing import Protocol
@@ -10,6 +11,7 @@
 from twisted.internet.task import LoopingCall
 
 from sycamorenotch_daemon._node import Node
+from sycamorenotch_kernel import Drains
 from sycamorenotch_kernel import InstanceId
 from sycamorenotch_kernel import InstanceState
 from sycamorenotch_kernel import ListedInstance
@@ -32,7 +34,7 @@
 class InstanceList:
     """Polls the platform's list and adds what this daemon knows of itself."""
 
-    after: ClassVar[tuple[str, ...]] = ("configuration",)
+    after: ClassVar[tuple[str, ...]] = ("configuration", "drains")
 
     def __init__(self, node: Node) -> None:
         self._node = node
@@ -52,7 +54,14 @@
 
     def instances(self) -> tuple[ListedInstance, ...]:
         """Return every known instance, this one included."""
-        return (self._self(), *self._others)
+        listed = (self._self(), *self._others)
+        drains = self._node.require(Drains)
+        return tuple(
+            replace(item, state=InstanceState.LEAVING)
+            if drains.covers_instance(item)
+            else item
+            for item in listed
+        )
 
     def _self(self) -> ListedInstance:
         settings = self._node.settings
--- a/packages/daemon/src/sycamorenotch_daemon/_node.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_node.py
@@ -18,6 +18,7 @@
 from sycamorenotch_kernel import Clock
 from sycamorenotch_kernel import DecisionLog
 from sycamorenotch_kernel import Directory
+from sycamorenotch_kernel import Drain
 from sycamorenotch_kernel import Environment
 from sycamorenotch_kernel import EventSink
 from sycamorenotch_kernel import IdentifierSource
@@ -52,13 +53,16 @@
     """The configuration that a daemon serves.
 
     :param generation: the store's version of the document.
-    :param digest: hash of the document's text.
+    :param digest: hash of the stored value.
+    :param text: the stored value as text, with the header that goes with the
+        document, so that peers can be given all of it.
     """
 
     environment: Environment
     generation: int
     digest: str
     text: str
+    drains: tuple[Drain, ...] = ()
 
 
 Listener = Callable[[InForce], None]
--- a/packages/daemon/src/sycamorenotch_daemon/_operators.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_operators.py
@@ -8,58 +8,39 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from datetime import timedelta
-from functools import wraps
-from typing import Any
 from typing import ClassVar
 from typing import final
 
 from klein import Klein
 from twisted.web.http import Request
 
-from sycamorenotch_daemon._configuration import ENVIRONMENT_KIND
-from sycamorenotch_daemon._instances import InstanceView
+from sycamorenotch_daemon._events import FrontEndFailed
 from sycamorenotch_daemon._node import Node
+from sycamorenotch_daemon._operator_endpoints import OperatorEndpoint
+from sycamorenotch_daemon._operator_endpoints import OperatorRequest
 from sycamorenotch_daemon._problems import write_problem
-from sycamorenotch_documents import InvalidFileError
-from sycamorenotch_documents import parse_environment
-from sycamorenotch_kernel import DecisionId
 from sycamorenotch_kernel import ErrorKind
 from sycamorenotch_kernel import Failure
-from sycamorenotch_kernel import StoreFault
-from sycamorenotch_kernel import Version
 from sycamorenotch_kernel import components
+from sycamorenotch_kernel import front_ends
+from sycamorenotch_kernel import operator_endpoints
 from sycamorenotch_transport import HttpListener
 
-WRITE_TIMEOUT = timedelta(seconds=5)
 OPERATORS_DRAIN = timedelta(seconds=5)
-
-Handler = Callable[..., Awaitable[bytes]]
-
-
-def _authorized(handler: Handler) -> Handler:
-    @wraps(handler)
-    async def checked(self: Any, req: Request, *args: Any, **kwargs: Any) -> bytes:
-        given = req.getHeader("Authorization") or ""
-        if not hmac.compare_digest(given.encode(), self.authorization):
-            failure = Failure(ErrorKind.UNAUTHORIZED, "the token is not accepted")
-            return write_problem(req, failure, "")
-        return await handler(self, req, *args, **kwargs)
-
-    return checked
+MAXIMUM_DOCUMENT_BYTES = 2**19
 
 
 @components.register("operators")
+@front_ends.register("operators")
 @final
 class OperatorsFrontEnd:
-    """Serves operators over HTTP with a bearer token."""
+    """Serves the registered endpoints over HTTP with a bearer token."""
 
-    after: ClassVar[tuple[str, ...]] = ("instances",)
-    app = Klein()
+    after: ClassVar[tuple[str, ...]] = ("instances", "drains")
 
     def __init__(self, node: Node) -> None:
         self._node = node
-        self._view = node.require(InstanceView)  # type: ignore[type-abstract]
-        self.authorization = f"Bearer {node.token}".encode()
+        self._authorization = f"Bearer {node.token}".encode()
         settings = node.settings
         self._listener = HttpListener(
             node.reactor, settings.operators_endpoint, settings.operators
@@ -67,74 +48,74 @@
 
     async def start(self) -> None:
         """Listen for operators."""
-        await self._listener.start(self.app.resource())
+        await self._listener.start(self._app().resource())
 
     async def stop(self) -> None:
         """Close the listener."""
         await self._listener.stop(OPERATORS_DRAIN)
 
-    @app.route("/v1/documents/<name>", methods=["GET"])
-    @_authorized
-    async def _read_document(self, req: Request, name: str) -> bytes:
-        found = await self._node.store.get(ENVIRONMENT_KIND, name, WRITE_TIMEOUT)
-        if found.is_error():
-            return write_problem(req, _store_failure(found.error.fault), "")
-        body = {"version": found.ok.version, "text": found.ok.value.decode()}
-        return _json(req, body)
-
-    @app.route("/v1/documents/<name>", methods=["PUT"])
-    @_authorized
-    async def _write_document(self, req: Request, name: str) -> bytes:
-        text = req.content.read()
+    def _app(self) -> Klein:
+        app = Klein()
+        for entry in operator_endpoints:
+            item = entry.value
+            route = app.route(item.path, methods=[item.method], endpoint=entry.name)
+            route(self._handler(item))
+        return app
+
+    def _handler(self, item: OperatorEndpoint) -> Callable[..., Awaitable[bytes]]:
+        async def handle(req: Request, **arguments: str) -> bytes:
+            return await self._serve(item, req, arguments)
+
+        return handle
+
+    async def _serve(
+        self, item: OperatorEndpoint, req: Request, arguments: dict[str, str]
+    ) -> bytes:
+        decision = self._node.ids.decision()
+        failure = self._refusal(req)
+        if failure is not None:
+            return write_problem(req, failure, decision)
         try:
-            parse_environment(text.decode())
-        except (InvalidFileError, UnicodeDecodeError) as exc:
-            return write_problem(req, Failure(ErrorKind.INVALID_DOCUMENT, str(exc)), "")
-        store, expected = self._node.store, req.getHeader("If-Match")
-        if expected is None:
-            written = await store.create(ENVIRONMENT_KIND, name, text, WRITE_TIMEOUT)
-        else:
-            version = Version(int(expected.strip('"')))
-            written = await store.update(
-                ENVIRONMENT_KIND, name, text, version, WRITE_TIMEOUT
-            )
-        if written.is_error():
-            return write_problem(req, _store_failure(written.error.fault), "")
-        return _json(req, {"version": written.ok.version})
-
-    @app.route("/v1/status", methods=["GET"])
-    @_authorized
-    async def _status(self, req: Request) -> bytes:
-        body = {
-            "instance": self._node.settings.instance,
-            "generation": self._node.configuration.generation,
-            "stopping": self._node.stopping,
-            "instances": [dataclasses.asdict(i) for i in self._view.instances()],
-        }
-        return _json(req, body)
-
-    @app.route("/v1/decisions/<decision>", methods=["GET"])
-    @_authorized
-    async def _decision(self, req: Request, decision: str) -> bytes:
-        record = self._node.decisions.find(DecisionId(decision))
-        if record is None:
-            failure = Failure(ErrorKind.NOT_FOUND, "the decision is not kept here")
+            result = await item.run(self._node, _request(req, arguments))
+        except Exception as exc:
+            self._node.sink.emit(FrontEndFailed(decision, type(exc).__name__))
+            failure = Failure(ErrorKind.INTERNAL, "see the log of the instance")
             return write_problem(req, failure, decision)
-        return _json(req, dataclasses.asdict(record))
+        if result.is_error():
+            return write_problem(req, result.error, decision)
+        req.setHeader("Content-Type", "application/json")
+        return encode_body(result.ok)
 
-
-def _store_failure(fault: StoreFault) -> Failure:
-    kinds = {
-        StoreFault.NOT_FOUND: ErrorKind.NOT_FOUND,
-        StoreFault.CONFLICT: ErrorKind.CONFLICT,
-    }
-    return Failure(kinds.get(fault, ErrorKind.STORE_UNAVAILABLE), fault.value)
-
-
-def _json(req: Request, body: object) -> bytes:
-    req.setHeader("Content-Type", "application/json")
-    return json.dumps(body, default=_encode).encode()
-
-
-def _encode(value: object) -> str:
+    def _refusal(self, req: Request) -> Failure | None:
+        given = req.getHeader("Authorization") or ""
+        # An empty token in the settings must not open the interface.
+        if not self._node.token or not hmac.compare_digest(
+            given.encode("latin-1", "replace"), self._authorization
+        ):
+            return Failure(ErrorKind.UNAUTHORIZED, "the token is not accepted")
+        if int(req.getHeader("Content-Length") or 0) > MAXIMUM_DOCUMENT_BYTES:
+            detail = f"a document has at most {MAXIMUM_DOCUMENT_BYTES} bytes"
+            return Failure(ErrorKind.BODY_TOO_LARGE, detail)
+        return None
+
+
+def encode_body(body: object) -> bytes:
+    """Return the JSON form of a data class."""
+    return json.dumps(dataclasses.asdict(body), default=_plain).encode()  # type: ignore[call-overload]
+
+
+def _request(req: Request, arguments: dict[str, str]) -> OperatorRequest:
+    expected = req.getHeader("If-Match")
+    return OperatorRequest(
+        arguments=arguments,
+        body=req.content.read(),
+        author=req.getHeader("Author") or "the holder of the operators' token",
+        expected=None if expected is None else expected.strip('"'),
+        source=req.getHeader("Copied-From") or "",
+    )
+
+
+def _plain(value: object) -> str:
+    if hasattr(value, "isoformat"):
+        return str(value.isoformat())
     return str(getattr(value, "value", value))
--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -16,6 +16,9 @@
 from sycamorenotch_kernel._decisions import DecisionRecord
 from sycamorenotch_kernel._decisions import Fact
 from sycamorenotch_kernel._decisions import RecentDecisions
+from sycamorenotch_kernel._drains import Drain
+from sycamorenotch_kernel._drains import DrainKind
+from sycamorenotch_kernel._drains import Drains
 from sycamorenotch_kernel._environment import Bounds
 from sycamorenotch_kernel._environment import Environment
 from sycamorenotch_kernel._environment import IPNetwork
@@ -91,6 +94,7 @@
 from sycamorenotch_kernel._registries import front_ends
 from sycamorenotch_kernel._registries import health_signals
 from sycamorenotch_kernel._registries import message_types
+from sycamorenotch_kernel._registries import operator_endpoints
 from sycamorenotch_kernel._registries import reports
 from sycamorenotch_kernel._registries import retry_rules
 from sycamorenotch_kernel._registries import steering_policies
@@ -126,6 +130,9 @@
     "DecisionLog",
     "DecisionRecord",
     "Directory",
+    "Drain",
+    "DrainKind",
+    "Drains",
     "DuplicateNameError",
     "Environment",
     "ErrorKind",
@@ -197,6 +204,7 @@
     "load_plugins",
     "message",
     "message_types",
+    "operator_endpoints",
     "reports",
     "retry_rules",
     "steering_policies",
--- a/packages/kernel/src/sycamorenotch_kernel/_errors.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_errors.py
@@ -8,6 +8,8 @@
 from enum import unique
 from typing import final
 
+from sycamorenotch_kernel._registries import error_answers
+
 
 @final
 @unique
@@ -135,6 +137,9 @@
     ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, "The instance failed unexpectedly"),
 }
 
+for _kind, _answer in ANSWERS.items():
+    error_answers.add(_kind.value, _answer, __name__)
+
 
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/kernel/src/sycamorenotch_kernel/_registries.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_registries.py
@@ -20,6 +20,7 @@
 message_types: Registry[Any] = Registry("message type")
 document_sections: Registry[Any] = Registry("document section")
 commands: Registry[Any] = Registry("command")
+operator_endpoints: Registry[Any] = Registry("operator endpoint")
 reports: Registry[Any] = Registry("report")
 error_answers: Registry[Any] = Registry("error answer")
 
@@ -37,6 +38,7 @@
     message_types,
     document_sections,
     commands,
+    operator_endpoints,
     reports,
     events,
     error_answers,
