--- a/packages/standins/src/sycamorenotch_standins/_objects.py
+++ b/packages/standins/src/sycamorenotch_standins/_objects.py
@@ -110,7 +110,7 @@
         self._version += 1
         stored = StoredObject(kind, name, Version(self._version), value)
         self._objects[kind, name] = stored
-        waiters, self._waiters[kind] = self._waiters.get(kind, []), []
-        for waiter in waiters:
+        # A waiter withdraws itself from the list while it is called.
+        for waiter in tuple(self._waiters.pop(kind, ())):
             waiter()
         return Ok(stored)
