Add the operators' commands

Change: check, diff, show, apply, promote, history, status, drain, explain, report and plugins, each with an example, a form for terminals and one as JSON, and an exit code for unreachable, unauthorized, conflict and invalid. Answers are validated by models; status and explain ask every instance and name those that did not answer.

--- a/packages/cli/src/sycamorenotch_cli/_client.py
+++ b/packages/cli/src/sycamorenotch_cli/_client.py
@@ -2,29 +2,64 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import Any
+from typing import TypeVar
 from typing import final
 
 import treq
+from expression import Error
+from expression import Ok
+from expression import Result
+from pydantic import BaseModel
+from pydantic import ValidationError
 
 REQUEST_TIMEOUT = timedelta(seconds=15)
+PEER_TIMEOUT = timedelta(seconds=3)
+
+M = TypeVar("M", bound=BaseModel)
+
+
+class _ProblemModel(BaseModel):
+    title: str
+    detail: str
+    kind: str
 
 
 @final
 @dataclass(frozen=True, slots=True)
-class Reply:
-    """An answer of the operators' interface."""
+class Refusal:
+    """Why a request has no regular answer.
 
-    status: int
-    body: Any
+    :param kind: error kind, empty if the instance gave no answer.
+    :param unreachable: whether the instance could not be asked at all.
+    """
 
-    @property
-    def ok(self) -> bool:
-        """Whether the request succeeded."""
-        return self.status < 300
+    kind: str
+    title: str
+    detail: str
+    unreachable: bool = False
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What a write states about itself.
+
+    :param expected: generation that the write is based on.
+    :param source: environment and generation that are copied.
+    """
+
+    author: str
+    expected: int | None = None
+    source: str = ""
+
+    def headers(self) -> dict[str, str]:
+        """Return the header form."""
+        headers = {"Author": self.author, "Copied-From": self.source}
+        if self.expected is not None:
+            headers["If-Match"] = f'"{self.expected}"'
+        return {name: value for name, value in headers.items() if value}
 
 
 @final
@@ -33,26 +68,56 @@
 
     :param url: base URL of the listener.
     :param token: bearer token.
+    :param timeout: limit of one request.
     """
 
-    def __init__(self, url: str, token: str) -> None:
-        self._url = url.rstrip("/")
+    def __init__(
+        self, url: str, token: str, timeout: timedelta = REQUEST_TIMEOUT
+    ) -> None:
+        self.url = url.rstrip("/")
         self._token = token
+        self._timeout = timeout
+
+    def peer(self, address: str) -> OperatorsClient:
+        """Return a client of another instance with the same token."""
+        scheme = self.url.partition("://")[0]
+        return OperatorsClient(f"{scheme}://{address}", self._token, PEER_TIMEOUT)
+
+    async def get(self, path: str, model: type[M]) -> Result[M, Refusal]:
+        """Read something."""
+        return await self._request("GET", path, model, {}, None)
+
+    async def send(
+        self, method: str, path: str, model: type[M], change: Change, body: bytes = b""
+    ) -> Result[M, Refusal]:
+        """Change something."""
+        return await self._request(method, path, model, change.headers(), body)
 
-    async def request(
+    async def _request(
         self,
         method: str,
         path: str,
-        body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-    ) -> Reply:
-        """Send one request and decode the JSON answer."""
-        response = await treq.request(
-            method,
-            self._url + path,
-            data=body,
-            headers={"Authorization": f"Bearer {self._token}", **(headers or {})},
-            timeout=REQUEST_TIMEOUT.total_seconds(),
-        )
-        content = await treq.content(response)
-        return Reply(response.code, json.loads(content) if content else None)
+        model: type[M],
+        headers: dict[str, str],
+        body: bytes | None,
+    ) -> Result[M, Refusal]:
+        try:
+            response = await treq.request(
+                method,
+                self.url + path,
+                data=body,
+                headers={"Authorization": f"Bearer {self._token}", **headers},
+                timeout=self._timeout.total_seconds(),
+            )
+            content = await treq.content(response)
+        except Exception as exc:
+            detail = f"{self.url} cannot be reached: {type(exc).__name__}: {exc}"
+            return Error(Refusal("", "", detail, unreachable=True))
+        try:
+            if response.code < 300:
+                return Ok(model.model_validate_json(content))
+            problem = _ProblemModel.model_validate_json(content)
+        except ValidationError:
+            detail = f"{self.url} answered {response.code} in an unknown form"
+            return Error(Refusal("", "", detail, unreachable=True))
+        return Error(Refusal(problem.kind, problem.title, problem.detail))
--- a/packages/cli/src/sycamorenotch_cli/_documents.py
+++ b/packages/cli/src/sycamorenotch_cli/_documents.py
@@ -1,42 +1,210 @@
-"""Commands that check and apply environment documents."""
+"""Commands that check, compare and write environment documents."""
 
 from __future__ import annotations
 
+import difflib
 from pathlib import Path
 
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from sycamorenotch_cli._client import Change
+from sycamorenotch_cli._client import OperatorsClient
+from sycamorenotch_cli._client import Refusal
 from sycamorenotch_cli._commands import ExitCode
 from sycamorenotch_cli._commands import Invocation
 from sycamorenotch_cli._commands import Outcome
 from sycamorenotch_cli._commands import command
+from sycamorenotch_cli._commands import refused
+from sycamorenotch_cli._messages import DocumentModel
+from sycamorenotch_cli._waiting import wait_in_force
 from sycamorenotch_documents import InvalidFileError
 from sycamorenotch_documents import parse_environment
+from sycamorenotch_kernel import ErrorKind
 
 
-@command("check", "FILE", "Check an environment document and report every mistake.")
+@command(
+    "check",
+    "FILE",
+    "Check an environment document and report every mistake.",
+    "sycamorenotch check examples/vatukoula.ini",
+)
 async def check(invocation: Invocation) -> Outcome:
     """Check a document without sending it anywhere."""
     (path,) = invocation.args
-    try:
-        environment = parse_environment(Path(path).read_text())
-    except InvalidFileError as exc:
-        problems = [str(problem) for problem in exc.problems]
-        count = f"{len(problems)} mistakes in {path}"
-        data = {"valid": False, "problems": problems}
-        return Outcome(ExitCode.INVALID, "\n".join([count, *problems]), data)
-    text = f"{path} is valid: {len(environment.services)} services"
-    return Outcome(ExitCode.OK, text, {"valid": True, "problems": []})
+    read = _read(path)
+    if read.is_error():
+        return read.error
+    problems = _problems(read.ok)
+    if problems:
+        noun = "mistake" if len(problems) == 1 else "mistakes"
+        text = "\n".join([f"{len(problems)} {noun} in {path}", *problems])
+        return Outcome(ExitCode.INVALID, text, {"valid": False, "problems": problems})
+    services = len(parse_environment(read.ok).services)
+    data = {"valid": True, "problems": []}
+    return Outcome(ExitCode.OK, f"{path} is valid: {services} services", data)
+
+
+@command(
+    "diff",
+    "ENVIRONMENT FILE_OR_ENVIRONMENT",
+    "Show the difference between a stored document and a file or another one.",
+    "sycamorenotch diff production trial",
+)
+async def diff(invocation: Invocation) -> Outcome:
+    """Compare a stored document with a file or with another stored one."""
+    name, other = invocation.args
+    client = invocation.connect()
+    stored = await _document(client, name)
+    if stored.is_error():
+        return refused(stored.error)
+    if Path(other).exists():
+        read = _read(other)
+        if read.is_error():
+            return read.error
+        text, label = read.ok, other
+    else:
+        found = await _document(client, other)
+        if found.is_error():
+            return refused(found.error)
+        text, label = found.ok.text, _label(found.ok)
+    lines = _difference(stored.ok.text, text, _label(stored.ok), label)
+    data = {"generation": stored.ok.generation, "difference": lines}
+    return Outcome(ExitCode.OK, "\n".join(lines) or "no difference", data)
+
+
+@command(
+    "show",
+    "ENVIRONMENT",
+    "Show the newest document of an environment and who wrote it.",
+    "sycamorenotch show production",
+)
+async def show(invocation: Invocation) -> Outcome:
+    """Show a stored document."""
+    (name,) = invocation.args
+    found = await _document(invocation.connect(), name)
+    if found.is_error():
+        return refused(found.error)
+    document = found.ok
+    author = document.author or "unknown"
+    head = f"# {name}, generation {document.generation}, written by {author}"
+    data = document.model_dump(mode="json")
+    return Outcome(ExitCode.OK, f"{head}\n{document.text}", data)
 
 
-@command("apply", "ENVIRONMENT FILE", "Store a document as an environment's newest.")
+@command(
+    "apply",
+    "ENVIRONMENT FILE",
+    "Store a document as an environment's newest, unless it changed meanwhile.",
+    "sycamorenotch apply production examples/vatukoula.ini --wait",
+)
 async def apply(invocation: Invocation) -> Outcome:
     """Write a document with a conditional update."""
     name, path = invocation.args
-    client = invocation.connect()
-    current = await client.request("GET", f"/v1/documents/{name}")
-    headers = {"If-Match": f'"{current.body["version"]}"'} if current.ok else None
-    body = Path(path).read_bytes()
-    reply = await client.request("PUT", f"/v1/documents/{name}", body, headers)
-    if not reply.ok:
-        return Outcome(ExitCode.REFUSED, reply.body["detail"], reply.body)
-    text = f"{name} is at generation {reply.body['version']}"
-    return Outcome(ExitCode.OK, text, {"generation": reply.body["version"]})
+    read = _read(path)
+    if read.is_error():
+        return read.error
+    problems = _problems(read.ok)
+    if problems:
+        text = "\n".join([f"{path} is not valid", *problems])
+        return Outcome(ExitCode.INVALID, text, {"valid": False, "problems": problems})
+    return await _write(invocation, name, read.ok, "")
+
+
+@command(
+    "promote",
+    "",
+    "Copy the newest document of one environment to another.",
+    "sycamorenotch promote --from trial --to production --wait",
+)
+async def promote(invocation: Invocation) -> Outcome:
+    """Copy a document and name the generation that is copied."""
+    options = invocation.options
+    found = await _document(invocation.connect(), options.source)
+    if found.is_error():
+        return refused(found.error)
+    source = f"{options.source} generation {found.ok.generation}"
+    return await _write(invocation, options.target, found.ok.text, source)
+
+
+async def _write(invocation: Invocation, name: str, text: str, source: str) -> Outcome:
+    client, options = invocation.connect(), invocation.options
+    expected = await _expected(client, name, options.expect)
+    if expected.is_error():
+        return refused(expected.error)
+    change = Change(options.author, expected.ok, source)
+    path = f"/v1/documents/{name}"
+    written = await client.send("PUT", path, DocumentModel, change, text.encode())
+    if written.is_error():
+        return await _lost(client, name, text, written.error)
+    generation = written.ok.generation
+    copied = f", copied from {source}" if source else ""
+    head = f"{name} is at generation {generation}{copied}"
+    data = {"environment": name, "generation": generation, "source": source}
+    if not options.wait:
+        return Outcome(ExitCode.OK, head, data)
+    waited = await wait_in_force(invocation, generation)
+    merged = {**data, "spread": waited.data}
+    return Outcome(waited.code, f"{head}\n{waited.text}", merged)
+
+
+async def _expected(
+    client: OperatorsClient, name: str, stated: int | None
+) -> Result[int | None, Refusal]:
+    if stated is not None:
+        return Ok(stated)
+    found = await _document(client, name)
+    if found.is_ok():
+        return Ok(found.ok.generation)
+    if found.error.kind == ErrorKind.NOT_FOUND.value:
+        return Ok(None)
+    return Error(found.error)
+
+
+async def _lost(
+    client: OperatorsClient, name: str, text: str, refusal: Refusal
+) -> Outcome:
+    """Tell the loser of a race who won and what differs."""
+    outcome = refused(refusal)
+    if outcome.code is not ExitCode.CONFLICT:
+        return outcome
+    found = await _document(client, name)
+    if found.is_error():
+        return outcome
+    lines = _difference(found.ok.text, text, _label(found.ok), "yours, not stored")
+    shown = "\n".join([outcome.text, *(lines or ["the texts do not differ"])])
+    data = {**found.ok.model_dump(mode="json"), "difference": lines}
+    del data["text"]
+    return Outcome(outcome.code, shown, {"error": refusal.kind, "winner": data})
+
+
+async def _document(
+    client: OperatorsClient, name: str
+) -> Result[DocumentModel, Refusal]:
+    return await client.get(f"/v1/documents/{name}", DocumentModel)
+
+
+def _label(document: DocumentModel) -> str:
+    return f"{document.environment} generation {document.generation}"
+
+
+def _difference(old: str, new: str, old_label: str, new_label: str) -> list[str]:
+    pair = old.splitlines(), new.splitlines()
+    return list(difflib.unified_diff(*pair, old_label, new_label, lineterm=""))
+
+
+def _read(path: str) -> Result[str, Outcome]:
+    try:
+        return Ok(Path(path).read_text())
+    except (OSError, UnicodeDecodeError) as exc:
+        detail = f"{path} cannot be read: {exc}"
+        return Error(Outcome(ExitCode.USAGE, detail, {"error": detail}))
+
+
+def _problems(text: str) -> list[str]:
+    try:
+        parse_environment(text)
+    except InvalidFileError as exc:
+        return [str(problem) for problem in exc.problems]
+    return []
--- /dev/null
+++ b/packages/cli/src/sycamorenotch_cli/_explain.py
@@ -0,0 +1,51 @@
+"""The command that tells what was decided and why."""
+
+from __future__ import annotations
+
+from sycamorenotch_cli._commands import ExitCode
+from sycamorenotch_cli._commands import Invocation
+from sycamorenotch_cli._commands import Outcome
+from sycamorenotch_cli._commands import command
+from sycamorenotch_cli._commands import refused
+from sycamorenotch_cli._fleet import ask_fleet
+from sycamorenotch_cli._history import format_time
+from sycamorenotch_cli._messages import DecisionModel
+
+
+@command(
+    "explain",
+    "ID",
+    "Tell what was decided, from which inputs, and under which generation.",
+    "sycamorenotch explain d-0123456789abcdef0123",
+)
+async def explain(invocation: Invocation) -> Outcome:
+    """Ask every instance for the record of a decision."""
+    (decision,) = invocation.args
+    path = f"/v1/decisions/{decision}"
+    found = await ask_fleet(invocation.connect(), path, DecisionModel)
+    if found.is_error():
+        return refused(found.error)
+    if not found.ok.answers:
+        detail = f"no instance keeps a record of {decision}; {found.ok.summary}"
+        code = ExitCode.PARTIAL if found.ok.missing else ExitCode.NOT_FOUND
+        return Outcome(code, detail, {"error": detail, "missing": found.ok.missing})
+    instance, record = next(iter(found.ok.answers.items()))
+    data = {"instance": instance, **record.model_dump(mode="json")}
+    return Outcome(ExitCode.OK, _in_words(instance, record), data)
+
+
+def _in_words(instance: str, record: DecisionModel) -> str:
+    lines = [
+        f"Decision {record.id} was about: {record.kind}.",
+        f"It was made on instance {instance} at {format_time(record.at)},",
+        f"under configuration generation {record.generation}.",
+        f"Outcome: {record.outcome}.",
+    ]
+    if record.reasons:
+        lines += ["Why:", *(f"  {reason}" for reason in record.reasons)]
+    if record.facts:
+        inputs = (f"  {fact.name} = {fact.value}" for fact in record.facts)
+        lines += ["From these inputs:", *inputs]
+    if record.causes:
+        lines += ["It follows from:", *(f"  {cause}" for cause in record.causes)]
+    return "\n".join(lines)
--- /dev/null
+++ b/packages/cli/src/sycamorenotch_cli/_messages.py
@@ -0,0 +1,93 @@
+"""Models of what the operators' interface answers."""
+
+from __future__ import annotations
+
+from datetime import datetime
+
+from pydantic import BaseModel
+
+
+class DrainModel(BaseModel):
+    """A drain in force."""
+
+    kind: str
+    name: str
+    author: str
+    at: datetime
+
+
+class DocumentModel(BaseModel):
+    """An environment's document and who wrote it."""
+
+    environment: str
+    generation: int
+    author: str
+    at: datetime | None
+    change: str
+    source: str
+    digest: str
+    drains: tuple[DrainModel, ...]
+    text: str
+
+
+class RevisionModel(BaseModel):
+    """One generation in the history."""
+
+    generation: int
+    author: str
+    at: datetime | None
+    change: str
+    source: str
+    digest: str
+
+
+class HistoryModel(BaseModel):
+    """The kept generations, the newest first."""
+
+    environment: str
+    revisions: tuple[RevisionModel, ...]
+
+
+class InstanceModel(BaseModel):
+    """An instance in the list of one instance."""
+
+    id: str
+    region: str
+    data_centre: str
+    operators: str
+    state: str
+
+
+class StatusModel(BaseModel):
+    """The state of one instance."""
+
+    instance: str
+    environment: str
+    region: str
+    data_centre: str
+    generation: int
+    digest: str
+    stopping: bool
+    drains: tuple[DrainModel, ...]
+    instances: tuple[InstanceModel, ...]
+    violations: dict[str, int]
+
+
+class FactModel(BaseModel):
+    """One input of a decision."""
+
+    name: str
+    value: str
+
+
+class DecisionModel(BaseModel):
+    """The record of a decision."""
+
+    id: str
+    kind: str
+    at: datetime
+    generation: int
+    outcome: str
+    reasons: tuple[str, ...]
+    facts: tuple[FactModel, ...]
+    causes: tuple[str, ...]
--- a/packages/cli/src/sycamorenotch_cli/_plugins.py
+++ b/packages/cli/src/sycamorenotch_cli/_plugins.py
@@ -9,7 +9,12 @@
 from sycamorenotch_kernel import REGISTRIES
 
 
-@command("plugins", "", "List every registry and the module behind each name.")
+@command(
+    "plugins",
+    "",
+    "List every registry and the module behind each name.",
+    "sycamorenotch plugins",
+)
 async def plugins(invocation: Invocation) -> Outcome:
     """List the registries."""
     data = {
--- /dev/null
+++ b/packages/cli/src/sycamorenotch_cli/_status.py
@@ -0,0 +1,59 @@
+"""The command that shows the state of every instance."""
+
+from __future__ import annotations
+
+from sycamorenotch_cli._commands import ExitCode
+from sycamorenotch_cli._commands import Invocation
+from sycamorenotch_cli._commands import Outcome
+from sycamorenotch_cli._commands import command
+from sycamorenotch_cli._commands import refused
+from sycamorenotch_cli._fleet import FleetAnswers
+from sycamorenotch_cli._fleet import ask_fleet
+from sycamorenotch_cli._messages import InstanceModel
+from sycamorenotch_cli._messages import StatusModel
+from sycamorenotch_cli._tables import table
+
+
+@command(
+    "status",
+    "",
+    "Show the instances, the generation in force on each, and what is drained.",
+    "sycamorenotch status",
+)
+async def status(invocation: Invocation) -> Outcome:
+    """Ask each instance for its state."""
+    found = await ask_fleet(invocation.connect(), "/v1/status", StatusModel)
+    if found.is_error():
+        return refused(found.error)
+    fleet = found.ok
+    newest = max((item.generation for item in fleet.answers.values()), default=0)
+    current = sum(item.generation == newest for item in fleet.answers.values())
+    head = ("instance", "region", "data centre", "state", "generation", "violations")
+    rows = [_row(fleet, item) for item in fleet.listed]
+    summary = f"generation {newest} is in force on {current} of {len(rows)} instances"
+    lines = [table(head, rows), "", summary, fleet.summary, *_drain_lines(fleet)]
+    code = ExitCode.PARTIAL if fleet.missing else ExitCode.OK
+    data = {
+        "newest": newest,
+        "in_force": current,
+        "instances": len(rows),
+        "missing": fleet.missing,
+        "answers": {n: a.model_dump(mode="json") for n, a in fleet.answers.items()},
+    }
+    return Outcome(code, "\n".join(lines), data)
+
+
+def _row(fleet: FleetAnswers[StatusModel], item: InstanceModel) -> tuple[object, ...]:
+    place = (item.id, item.region, item.data_centre)
+    answer = fleet.answers.get(item.id)
+    if answer is None:
+        return (*place, "no answer", "-", "-")
+    state = "leaving" if answer.stopping else item.state
+    return (*place, state, answer.generation, sum(answer.violations.values()))
+
+
+def _drain_lines(fleet: FleetAnswers[StatusModel]) -> list[str]:
+    newest = max(fleet.answers.values(), key=lambda item: item.generation, default=None)
+    if newest is None:
+        return []
+    return [f"drained: {d.kind} {d.name}, by {d.author}" for d in newest.drains]
--- a/packages/cli/src/sycamorenotch_cli/main.py
+++ b/packages/cli/src/sycamorenotch_cli/main.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import getpass
 import json
 import sys
+from datetime import timedelta
 from pathlib import Path
 from typing import Any
 
@@ -13,63 +15,137 @@
 from twisted.internet.task import react
 
 from sycamorenotch_cli._client import OperatorsClient
+from sycamorenotch_cli._commands import Command
 from sycamorenotch_cli._commands import ExitCode
 from sycamorenotch_cli._commands import Invocation
+from sycamorenotch_cli._commands import Options
 from sycamorenotch_cli._commands import Outcome
 from sycamorenotch_kernel import UnknownNameError
 from sycamorenotch_kernel import commands
 from sycamorenotch_kernel import load_plugins
 from sycamorenotch_transport import install_literal_resolver
 
+HELP_WORDS = ("help", "--help", "-h")
+
 OPERATORS = flags.DEFINE_string(
     "operators", "http://127.0.0.1:8081", "URL of an instance's operators' listener."
 )
 TOKEN_FILE = flags.DEFINE_string("token_file", None, "File with the bearer token.")
 FORMAT = flags.DEFINE_enum("format", "text", ["text", "json"], "Form of the output.")
+AUTHOR = flags.DEFINE_string("author", "", "Name for the history; else the login name.")
+EXPECT = flags.DEFINE_integer(
+    "expect", None, "Generation that was seen; the write is refused if it is older."
+)
+WAIT = flags.DEFINE_bool("wait", False, "Wait until every instance serves the change.")
+WAIT_SECONDS = flags.DEFINE_float("wait_seconds", 10.0, "Longest time to wait.")
+FROM = flags.DEFINE_string("from", "trial", "Environment that a promotion copies.")
+TO = flags.DEFINE_string("to", "production", "Environment that a promotion writes.")
+ENVIRONMENT = flags.DEFINE_string("environment", "production", "Where a drain applies.")
+UNDO = flags.DEFINE_bool("undo", False, "End a drain.")
+OUTPUT = flags.DEFINE_string("output", "", "File for a report as HTML.")
 
 
 def main() -> None:
     """Run one command."""
+    # A command's name comes first, and flags may follow its arguments.
+    flags.FLAGS.set_gnu_getopt(True)
+    words = [word for word in sys.argv[1:] if not word.startswith("-")]
+    if any(word in HELP_WORDS for word in sys.argv[1:]) or not words:
+        load_plugins()
+        print(_help(words))
+        sys.exit(ExitCode.OK if words or len(sys.argv) > 1 else ExitCode.USAGE)
     app.run(_run)
 
 
 def _run(argv: list[str]) -> None:
     load_plugins()
-    if len(argv) < 2:
-        print(_overview())
-        sys.exit(ExitCode.USAGE)
-    react(lambda reactor: _start(reactor, argv[1], argv[2:]))
+    name, args = argv[1], tuple(argv[2:])
+    try:
+        found: Command = commands.get(name)
+    except UnknownNameError as exc:
+        _exit(_usage_error(str(exc)))
+    if not found.accepts(len(args)):
+        _exit(_usage_error(f"usage: sycamorenotch {name} {found.usage}"))
+    connect = _connection()
+    react(lambda reactor: _start(reactor, found, args, connect))
 
 
-def _start(reactor: Any, name: str, args: list[str]) -> Deferred[None]:
+def _start(
+    reactor: Any, found: Command, args: tuple[str, ...], client: OperatorsClient
+) -> Deferred[None]:
     install_literal_resolver(reactor)
-    return Deferred.fromCoroutine(_execute(name, args))
+    invocation = Invocation(args, _options(), reactor, lambda: client)
+    return Deferred.fromCoroutine(_execute(found, invocation))
 
 
-async def _execute(name: str, args: list[str]) -> None:
-    try:
-        found = commands.get(name)
-    except UnknownNameError as exc:
-        print(exc, file=sys.stderr)
-        raise SystemExit(ExitCode.USAGE) from None
-    outcome: Outcome = await found.run(Invocation(tuple(args), _connect))
-    print(_render(outcome))
-    raise SystemExit(outcome.code)
+async def _execute(found: Command, invocation: Invocation) -> None:
+    _exit(await found.run(invocation))
 
 
-def _render(outcome: Outcome) -> str:
+def _exit(outcome: Outcome) -> None:
     if FORMAT.value == "json":
-        return json.dumps(outcome.data, indent=2)
-    return outcome.text
+        print(json.dumps(outcome.data, indent=2))
+    elif outcome.code in (ExitCode.OK, ExitCode.PARTIAL):
+        print(outcome.text)
+    else:
+        print(outcome.text, file=sys.stderr)
+    raise SystemExit(outcome.code)
 
 
-def _connect() -> OperatorsClient:
-    token = Path(TOKEN_FILE.value).read_text().strip() if TOKEN_FILE.value else ""
-    return OperatorsClient(OPERATORS.value, token)
+def _usage_error(text: str) -> Outcome:
+    return Outcome(ExitCode.USAGE, text, {"error": text})
 
 
-def _overview() -> str:
-    def line(entry: Any) -> str:
-        return f"  {entry.name} {entry.value.usage}\n      {entry.value.summary}"
+def _options() -> Options:
+    return Options(
+        author=AUTHOR.value or _login_name(),
+        expect=EXPECT.value,
+        wait=WAIT.value,
+        wait_limit=timedelta(seconds=WAIT_SECONDS.value),
+        source=FROM.value,
+        target=TO.value,
+        environment=ENVIRONMENT.value,
+        undo=UNDO.value,
+        output=OUTPUT.value,
+    )
+
+
+def _login_name() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return ""
+
+
+def _connection() -> OperatorsClient:
+    try:
+        token = Path(TOKEN_FILE.value).read_text().strip() if TOKEN_FILE.value else ""
+    except OSError as exc:
+        _exit(_usage_error(f"the token file cannot be read: {exc}"))
+    return OperatorsClient(OPERATORS.value, token)
+
 
-    return "\n".join(["usage: sycamorenotch COMMAND", *map(line, commands)])
+def _help(words: list[str]) -> str:
+    named = [word for word in words if word in commands]
+    if named:
+        found = commands.get(named[0])
+        usage = f"usage: sycamorenotch {named[0]} {found.usage}".rstrip()
+        return f"{usage}\n\n{found.summary}\n\nexample: {found.example}"
+    lines = [f"  {entry.name:10} {entry.value.summary}" for entry in commands]
+    return "\n".join(
+        [
+            "usage: sycamorenotch COMMAND [ARGUMENT...] [--FLAG=VALUE...]",
+            "",
+            *lines,
+            "",
+            "flags:",
+            _flag_lines(),
+            "",
+            "sycamorenotch COMMAND --help shows an example.",
+        ]
+    )
+
+
+def _flag_lines() -> str:
+    found = flags.FLAGS.get_key_flags_for_module(__name__)
+    return "\n".join(f"  --{flag.name:13} {flag.help}" for flag in found)
