Steer by headroom under the shift cap and split capacity by grants

Cause: routes always named the client's own region, and no instance had a bound on the slots that it fills. Change: the policy "headroom" moves traffic off lost, drained and full regions, the most urgent rank first, within the cap, the target's headroom and the link budgets; the ledger is part of the plan and counts a move for the window, the life of answers and a clock margin. Grants shrink, are confirmed or lapse, then grow. Stale, missing and contradicted measurements are events 3301 to 3304. The plan no longer has allowances for spill-over: single requests do not leave the plan's routes.

--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -66,7 +66,6 @@
 from sycamorenotch_kernel._plan import RegionShare
 from sycamorenotch_kernel._plan import Shift
 from sycamorenotch_kernel._plan import ShiftCause
-from sycamorenotch_kernel._plan import SpillAllowance
 from sycamorenotch_kernel._plugins import PLUGIN_GROUP
 from sycamorenotch_kernel._plugins import import_private_modules
 from sycamorenotch_kernel._plugins import load_plugins
@@ -181,7 +180,6 @@
     "Shift",
     "ShiftCause",
     "ShiftPolicy",
-    "SpillAllowance",
     "Store",
     "StoreError",
     "StoreFault",
--- a/packages/kernel/src/sycamorenotch_kernel/_plan.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_plan.py
@@ -20,7 +20,6 @@
 
     PLANNED = "planned move"
     FAILOVER = "failover"
-    SPILL_OVER = "spill-over of single requests"
 
 
 @final
@@ -41,8 +40,8 @@
     """Where one rank of a service's traffic from one client region goes.
 
     :param source: region of the clients.
-    :param shares: serving regions; they sum to less than 1 where a part has
-        nowhere to go, and that part is refused as not run.
+    :param shares: serving regions, whose shares sum to 1; the part of a region
+        that is lost is refused as not run until the shift cap lets it move.
     """
 
     service: str
@@ -106,20 +105,6 @@
     cause: ShiftCause
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class SpillAllowance:
-    """Single requests that an instance may send outside the routes.
-
-    :param share: share of the service's whole traffic, from 0 to 1, in each
-        window of the shift cap; it is reserved from the cap.
-    """
-
-    instance: InstanceId
-    service: str
-    share: float
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class Plan:
@@ -141,4 +126,3 @@
     grants: tuple[Grant, ...]
     outstanding: tuple[OutstandingGrant, ...] = ()
     shifts: tuple[Shift, ...] = ()
-    allowances: tuple[SpillAllowance, ...] = ()
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -44,8 +44,18 @@
 from sycamorenotch_policies._claims import fingerprint
 from sycamorenotch_policies._concurrency import ConcurrencyLimit
 from sycamorenotch_policies._fleet import FleetMember
+from sycamorenotch_policies._grant_holding import GrantHolding
+from sycamorenotch_policies._grants import GONE_GRACE
+from sycamorenotch_policies._grants import LAPSE_MARGIN
+from sycamorenotch_policies._grants import LOAN_LIFE
+from sycamorenotch_policies._grants import GrantDecision
+from sycamorenotch_policies._grants import apportion
+from sycamorenotch_policies._grants import regrant
+from sycamorenotch_policies._ledger import ShiftLedger
 from sycamorenotch_policies._lookup import LookupAnswer
 from sycamorenotch_policies._lookup import LookupTable
+from sycamorenotch_policies._measurements import Assessment
+from sycamorenotch_policies._measurements import assess
 from sycamorenotch_policies._outcomes import Outcome
 from sycamorenotch_policies._quarantine import Quarantine
 from sycamorenotch_policies._quarantine import Signature
@@ -72,11 +82,15 @@
 
 __all__ = [
     "BODY_LIMIT_BYTES",
+    "GONE_GRACE",
+    "LAPSE_MARGIN",
+    "LOAN_LIFE",
     "AdmissionDecision",
     "AdmissionDecisions",
     "AdmissionDiscipline",
     "AdmissionSetup",
     "Admitted",
+    "Assessment",
     "BlockTable",
     "BudgetedRetry",
     "Choice",
@@ -103,6 +117,8 @@
     "FinishCall",
     "FleetMember",
     "GiveUp",
+    "GrantDecision",
+    "GrantHolding",
     "InstanceContact",
     "LoadReport",
     "LookupAnswer",
@@ -124,6 +140,7 @@
     "RetryDecision",
     "RetryRule",
     "RoundRobin",
+    "ShiftLedger",
     "Signature",
     "SteeringView",
     "Strike",
@@ -135,7 +152,10 @@
     "WorkerReport",
     "WorkerTable",
     "WriteClaim",
+    "apportion",
+    "assess",
     "fingerprint",
     "make_plan",
+    "regrant",
     "sign_request",
 ]
--- /dev/null
+++ b/packages/policies/src/sycamorenotch_policies/_measurements.py
@@ -0,0 +1,167 @@
+"""What measurements are worth: age, absence and contradiction."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+from itertools import product
+from typing import final
+
+from sycamorenotch_kernel import Environment
+from sycamorenotch_kernel import Event
+from sycamorenotch_kernel import Rank
+from sycamorenotch_kernel import Worker
+from sycamorenotch_policies._steering_events import DemandStale
+from sycamorenotch_policies._steering_events import MeasurementMissing
+from sycamorenotch_policies._steering_events import MeasurementStale
+from sycamorenotch_policies._steering_events import RegionUnusable
+from sycamorenotch_policies._steering_events import ReportContradicted
+from sycamorenotch_policies._steering_view import Demand
+from sycamorenotch_policies._steering_view import SteeringView
+from sycamorenotch_policies._steering_view import WorkerReport
+
+LOW_LOAD = 0.5
+HIGH_LOAD = 0.95
+FAILING = 0.3
+HEALTHY = 0.02
+COLD_SHARE = 0.1
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class RegionCapacity:
+    """What the workers of one service in one region can take.
+
+    :param grantable: slots of the workers that take new work.
+    :param rate: requests per second that the region may be planned for, with
+        cold and failing workers counted in part; 0 for a drained region.
+    :param weight: weight of the reports, from 0 to 1, by their age.
+    """
+
+    grantable: int
+    rate: float
+    weight: float
+
+    @property
+    def lost(self) -> bool:
+        """Whether the reports say that nothing can run here."""
+        return self.weight > 0 and not self.grantable
+
+
+Capacities = dict[tuple[str, str], RegionCapacity]
+Rates = dict[tuple[str, str, Rank], float]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Assessment:
+    """Capacity and demand that a plan may rely on.
+
+    :param capacities: by region and service.
+    :param rates: requests per second by service, client region and rank.
+    :param held: services whose demand is unknown, so that routes stay.
+    """
+
+    capacities: Capacities
+    rates: Rates
+    held: frozenset[str]
+    events: tuple[Event, ...]
+
+    def total(self, service: str) -> float:
+        """Return the whole demand for a service, in requests per second."""
+        return sum(rate for key, rate in self.rates.items() if key[0] == service)
+
+
+def age_weight(age: timedelta, stale_after: timedelta) -> float:
+    """Return the weight of a measurement, from 1 when new to 0 when stale."""
+    return min(1.0, max(0.0, 1.0 - age / stale_after))
+
+
+def assess(view: SteeringView) -> Assessment:
+    """Weigh the measurements of a view."""
+    reports = {report.worker: report for report in view.workers}
+    events: list[Event] = []
+    capacities = {
+        (region, service): _capacity(view, reports, region, service, events)
+        for region, service in product(
+            view.environment.regions, view.environment.services
+        )
+    }
+    held = frozenset(_without_demand(view))
+    events.extend(DemandStale(service) for service in sorted(held))
+    rates = {(d.service, d.source, d.rank): d.rate for d in view.demands}
+    return Assessment(capacities, rates, held, tuple(events))
+
+
+def _capacity(
+    view: SteeringView,
+    reports: dict[str, WorkerReport],
+    region: str,
+    service: str,
+    events: list[Event],
+) -> RegionCapacity:
+    environment = view.environment
+    workers = [w for w in environment.workers_of(service) if w.region == region]
+    known = [(w, reports[w.name]) for w in workers if w.name in reports]
+    stale_after = environment.bounds.stale_after
+    weight = max((age_weight(r.age, stale_after) for _, r in known), default=0.0)
+    if workers and not known:
+        events.append(MeasurementMissing(service, region))
+    elif known and not weight:
+        youngest = min(report.age for _, report in known)
+        events.append(MeasurementStale(service, region, youngest.total_seconds()))
+    # A worker without a report keeps the capacity that the document states.
+    parts = [
+        _usable_share(environment, reports.get(worker.name)) * worker.slots
+        for worker in workers
+    ]
+    events.extend(_contradictions(environment, known))
+    grantable = sum(
+        worker.slots for worker, part in zip(workers, parts, strict=True) if part
+    )
+    if workers and weight and not grantable:
+        events.append(RegionUnusable(service, region))
+    planned = 0.0 if region in view.drained else sum(parts)
+    service_time = environment.services[service].service_time.total_seconds()
+    return RegionCapacity(grantable, planned / service_time, weight)
+
+
+def _usable_share(environment: Environment, report: WorkerReport | None) -> float:
+    if report is None:
+        return 1.0
+    if not report.usable:
+        return 0.0
+    ramp = min(1.0, report.in_service / environment.bounds.cold_start)
+    trust = 1.0 - report.failures if report.failures > HEALTHY else 1.0
+    return max(COLD_SHARE, ramp) * trust
+
+
+def _contradictions(
+    environment: Environment, known: list[tuple[Worker, WorkerReport]]
+) -> Iterator[Event]:
+    for worker, report in known:
+        if report.load is None:
+            continue
+        service_time = environment.services[worker.service].service_time
+        quick = report.latency is not None and report.latency <= 2 * service_time
+        healthy = report.failures <= HEALTHY
+        if report.load <= LOW_LOAD and report.failures >= FAILING:
+            detail = "it reports little load while requests fail"
+        elif report.load >= HIGH_LOAD and quick and healthy:
+            detail = "it reports full load while requests are answered quickly"
+        else:
+            continue
+        yield ReportContradicted(worker.name, report.load, report.failures, detail)
+
+
+def _without_demand(view: SteeringView) -> Iterator[str]:
+    stale_after = view.environment.bounds.stale_after
+    for service in view.environment.services:
+        known = [d for d in view.demands if d.service == service]
+        if not known or any(_is_stale(demand, stale_after) for demand in known):
+            yield service
+
+
+def _is_stale(demand: Demand, stale_after: timedelta) -> bool:
+    return demand.age >= stale_after
--- /dev/null
+++ b/packages/policies/src/sycamorenotch_policies/_steering_events.py
@@ -0,0 +1,109 @@
+"""Events of steering and of grants."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import final
+
+from sycamorenotch_kernel import Event
+from sycamorenotch_kernel import Severity
+from sycamorenotch_kernel import event
+
+
+@event(3301, "steering.measurement-stale", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class MeasurementStale(Event):
+    """Reports of a region are too old; no traffic is moved to it."""
+
+    service: str
+    region: str
+    age_s: float
+
+
+@event(3302, "steering.measurement-missing", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class MeasurementMissing(Event):
+    """No worker of a region is reported; its last safe routes stay."""
+
+    service: str
+    region: str
+
+
+@event(3303, "steering.report-contradicted", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class ReportContradicted(Event):
+    """A worker's report does not fit what requests to it saw."""
+
+    worker: str
+    reported_load: float
+    failures: float
+    detail: str
+
+
+@event(3304, "steering.demand-stale", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class DemandStale(Event):
+    """Demand for a service is unknown or too old; its routes stay."""
+
+    service: str
+
+
+@event(3305, "steering.shifted")
+@final
+@dataclass(frozen=True, slots=True)
+class TrafficShifted(Event):
+    """A plan moved part of a service's traffic to another region."""
+
+    service: str
+    rank: str
+    clients: str
+    source: str
+    target: str
+    share: float
+    cause: str
+
+
+@event(3306, "steering.shift-deferred", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class ShiftDeferred(Event):
+    """Traffic could not move yet: the limit names what held it back."""
+
+    service: str
+    rank: str
+    source: str
+    share: float
+    limit: str
+
+
+@event(3307, "steering.region-unusable", Severity.ERROR)
+@final
+@dataclass(frozen=True, slots=True)
+class RegionUnusable(Event):
+    """No worker of a service is usable in a region."""
+
+    service: str
+    region: str
+
+
+@event(3321, "grants.instance-gone")
+@final
+@dataclass(frozen=True, slots=True)
+class InstanceGone(Event):
+    """The grants of an instance were freed after the grace."""
+
+    instance: str
+
+
+@event(3322, "grants.loans-lapsed", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class LoansLapsed(Event):
+    """An instance is silent; its loans have lapsed and its floors stay."""
+
+    instance: str
+    silence_s: float
--- a/packages/policies/src/sycamorenotch_policies/_steering_nearest.py
+++ b/packages/policies/src/sycamorenotch_policies/_steering_nearest.py
@@ -30,9 +30,3 @@
     sequence = 1 if previous is None else previous.sequence + 1
     plan = Plan(view.generation, sequence, now, view.holder, routes, grants)
     return PlanDecision(plan, changed)
-
-
-@steering_policies.register("headroom")
-def headroom(view: SteeringView, previous: Plan | None, now: datetime) -> PlanDecision:
-    """Route each client region to itself until demand is weighed."""
-    return nearest(view, previous, now)
