Measure how long an admitted request holds its slot

Cause: a slot is also held while a claim is made, so that the time at the upstream understates the wait of the queue. Change: the discipline keeps the start of each request; the call carries its signature, the workers tried and the time at the last one. Conclusion: the limit follows the upstream, the wait follows the slot.

--- a/packages/kernel/src/sycamorenotch_kernel/_calls.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_calls.py
@@ -35,6 +35,9 @@
         of no use.
     :param reasons: whole sentences that stages add for the record.
     :param facts: inputs that stages add for the record.
+    :param signature: digest of what the request asks for, if a stage set it.
+    :param tried: names of the workers that the call was sent to.
+    :param upstream_time: time that the last attempt spent at its worker.
     """
 
     id: DecisionId
@@ -49,6 +52,9 @@
     generation: int
     reasons: list[str] = field(default_factory=list)
     facts: list[Fact] = field(default_factory=list)
+    signature: str = ""
+    tried: list[str] = field(default_factory=list)
+    upstream_time: timedelta | None = None
 
     @property
     def rank(self) -> Rank:
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -43,6 +43,7 @@
 from sycamorenotch_policies._claims import RecordedAnswer
 from sycamorenotch_policies._claims import fingerprint
 from sycamorenotch_policies._concurrency import ConcurrencyLimit
+from sycamorenotch_policies._connections import ConnectionBudget
 from sycamorenotch_policies._fleet import FleetMember
 from sycamorenotch_policies._grant_holding import GrantHolding
 from sycamorenotch_policies._grants import GONE_GRACE
@@ -110,6 +111,7 @@
     "ClaimWriteLost",
     "ClaimWritten",
     "ConcurrencyLimit",
+    "ConnectionBudget",
     "Demand",
     "DispatchCall",
     "DispatchEnded",
--- a/packages/policies/src/sycamorenotch_policies/_admission.py
+++ b/packages/policies/src/sycamorenotch_policies/_admission.py
@@ -98,7 +98,10 @@
     def release(
         self, ticket: Ticket, latency: timedelta, outcome: Outcome, now: timedelta
     ) -> AdmissionDecisions:
-        """Free the slot of an admitted request; decide on queued ones."""
+        """Free the slot of an admitted request; decide on queued ones.
+
+        :param latency: time that the request spent at its upstream.
+        """
         ...
 
     def cancel(self, ticket: Ticket) -> None:
@@ -169,6 +172,7 @@
         self._credits = dict.fromkeys(self._queues, 0.0)
         self.running = dict.fromkeys(self._queues, 0)
         self._total_running = 0
+        self._started: dict[str, timedelta] = {}
 
     @property
     def limit(self) -> int:
@@ -183,7 +187,7 @@
     def offer(self, ticket: Ticket, now: timedelta) -> AdmissionDecision:
         """Admit, queue or refuse a new request."""
         if self._total_running < self.limit and not self.queued:
-            return self._start(ticket)
+            return self._start(ticket, now)
         wait = self._expected_wait(ticket.rank)
         patience = ticket.deadline - now
         if wait is None or len(self._queues[ticket.rank]) >= MAXIMUM_QUEUED:
@@ -205,8 +209,10 @@
         self.running[ticket.rank] -= 1
         self._total_running -= 1
         self._limit.observe(latency, outcome)
+        held = now - self._started.pop(ticket.id)
         if outcome is Outcome.ANSWERED:
-            change = latency.total_seconds() - self._latency_s
+            # A slot is held during the claim too, not only at the upstream.
+            change = held.total_seconds() - self._latency_s
             self._latency_s += LATENCY_WEIGHT * change
         return self._fill(now)
 
@@ -235,9 +241,10 @@
     def _latency(self) -> timedelta:
         return timedelta(seconds=self._latency_s)
 
-    def _start(self, ticket: Ticket) -> Admitted:
+    def _start(self, ticket: Ticket, now: timedelta) -> Admitted:
         self.running[ticket.rank] += 1
         self._total_running += 1
+        self._started[ticket.id] = now
         return Admitted(ticket)
 
     def _fill(self, now: timedelta) -> AdmissionDecisions:
@@ -252,7 +259,7 @@
             rank = self._next_rank(waiting)
             _, ticket = self._queues[rank].popitem(last=False)
             if self._keeps_floors(rank, waiting):
-                yield self._start(ticket)
+                yield self._start(ticket, now)
             else:
                 detail = "the floor of another rank would be broken"
                 yield _refuse(ticket, ErrorKind.INVARIANT, detail, None)
