Take calls through quarantine, admission, retry and choice

Cause: calls went to a random worker, a partial or crossed answer was handed on, one cookie jar served all callers, and nothing was refused.

--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_call_events.py
@@ -0,0 +1,79 @@
+"""Events about single calls."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import final
+
+from sycamorenotch_kernel import Event
+from sycamorenotch_kernel import Severity
+from sycamorenotch_kernel import event
+
+
+@event(2310, "admission.refused", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class AdmissionRefused(Event):
+    """A call was refused before it ran, because its service has no room."""
+
+    decision: str
+    service: str
+    rank: str
+    kind: str
+    detail: str
+
+
+@event(2311, "admission.grant-changed")
+@final
+@dataclass(frozen=True, slots=True)
+class GrantChanged(Event):
+    """The instance may use another number of slots of a service."""
+
+    service: str
+    slots: int
+
+
+@event(2320, "retry.scheduled")
+@final
+@dataclass(frozen=True, slots=True)
+class RetryScheduled(Event):
+    """A failed attempt is repeated after a delay."""
+
+    decision: str
+    attempt: int
+    kind: str
+    seconds: float
+
+
+@event(2321, "retry.refused")
+@final
+@dataclass(frozen=True, slots=True)
+class RetryRefused(Event):
+    """A failed attempt is not repeated."""
+
+    decision: str
+    attempt: int
+    kind: str
+    reason: str
+
+
+@event(2330, "quarantine.refused", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class QuarantineRefused(Event):
+    """A call was refused because the same request has lost several workers."""
+
+    decision: str
+    signature: str
+    seconds: float
+
+
+@event(2331, "quarantine.entered", Severity.ERROR)
+@final
+@dataclass(frozen=True, slots=True)
+class QuarantineEntered(Event):
+    """A request has lost several workers and is held back from now on."""
+
+    decision: str
+    signature: str
+    worker: str
--- a/packages/daemon/src/sycamorenotch_daemon/_calls.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_calls.py
@@ -29,7 +29,7 @@
 class CallPath:
     """The stages of a call, in order."""
 
-    after: ClassVar[tuple[str, ...]] = ("instances", "claims")
+    after: ClassVar[tuple[str, ...]] = ("instances", "upstreams", "admission", "claims")
 
     def __init__(self, node: Node) -> None:
         self._node = node
--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_upstreams.py
@@ -0,0 +1,158 @@
+"""The upstream workers that this instance uses, service by service."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+from itertools import groupby
+from typing import ClassVar
+from typing import final
+
+from twisted.internet.task import LoopingCall
+
+from sycamorenotch_daemon._instances import InstanceView
+from sycamorenotch_daemon._node import InForce
+from sycamorenotch_daemon._node import Node
+from sycamorenotch_kernel import Drains
+from sycamorenotch_kernel import Environment
+from sycamorenotch_kernel import InstanceState
+from sycamorenotch_kernel import Worker
+from sycamorenotch_kernel import components
+from sycamorenotch_kernel import upstream_choices
+from sycamorenotch_policies import ChoiceSetup
+from sycamorenotch_policies import ConnectionBudget
+from sycamorenotch_policies import UpstreamChoice
+
+RECOUNT_INTERVAL_S = 1.0
+
+
+@components.register("upstreams")
+@final
+class Upstreams:
+    """Holds one choice for each service of the configuration in force."""
+
+    after: ClassVar[tuple[str, ...]] = ("configuration", "drains", "instances")
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._view = node.require(InstanceView)  # type: ignore[type-abstract]
+        self._choices: dict[str, UpstreamChoice] = {}
+        self._names: dict[str, str] = {}
+        self._budgets: dict[str, ConnectionBudget] = {}
+        self._workers: Mapping[str, Worker] = {}
+        self._leaving: set[str] = set()
+        self._recount = LoopingCall(self._resize)
+        self._recount.clock = node.reactor
+        node.provide(Upstreams, self)
+        node.configuration.subscribe(self._on_configuration)
+
+    async def start(self) -> None:
+        """Start to follow the number of live instances."""
+        self._recount.start(RECOUNT_INTERVAL_S)
+
+    async def stop(self) -> None:
+        """Stop following the number of instances."""
+        if self._recount.running:
+            self._recount.stop()
+
+    @property
+    def workers(self) -> Mapping[str, Worker]:
+        """Every worker of the configuration in force, by name."""
+        return self._workers
+
+    def choice(self, service: str) -> UpstreamChoice | None:
+        """Return the choice of a service of the configuration in force."""
+        return self._choices.get(service)
+
+    def budget(self, address: str) -> ConnectionBudget | None:
+        """Return the connection budget of a worker by its address."""
+        return self._budgets.get(address)
+
+    def set_regions(self, service: str, weights: Mapping[str, float]) -> None:
+        """Set the share of a service's requests for each worker region."""
+        choice = self._choices.get(service)
+        if choice is not None:
+            choice.set_regions(weights)
+
+    def report_leaving(self, worker: str, leaving: bool) -> None:
+        """Take in whether a worker says that it is leaving."""
+        if leaving:
+            self._leaving.add(worker)
+        else:
+            self._leaving.discard(worker)
+        if worker in self._workers:
+            self._mark(self._workers[worker])
+
+    def live_instances(self, region: str | None = None) -> int:
+        """Return the number of live instances, at least 1.
+
+        :param region: count only the instances of this region.
+        """
+        live = (i for i in self._view.instances() if i.state is InstanceState.LIVE)
+        return max(1, sum(region in (None, item.region) for item in live))
+
+    def _on_configuration(self, in_force: InForce) -> None:
+        environment = in_force.environment
+        now = self._node.clock.monotonic()
+        name = environment.policies["choice"]
+        wanted = dict(_by_service(environment))
+        for service in environment.services:
+            # Another rule starts from nothing; the same rule keeps its state.
+            if self._names.get(service) != name:
+                self._choices[service] = self._build(name, environment, service)
+                self._names[service] = name
+            self._choices[service].update(wanted.get(service, ()), now)
+        for service in self._choices.keys() - environment.services.keys():
+            del self._choices[service], self._names[service]
+        self._workers = environment.workers
+        for worker in self._workers.values():
+            self._mark(worker)
+        self._leaving &= self._workers.keys()
+        self._update_budgets()
+
+    def _mark(self, worker: Worker) -> None:
+        """Stop new work on a worker that leaves or that operators drain."""
+        table = self._choices[worker.service].table
+        now = self._node.clock.monotonic()
+        drained = self._node.require(Drains).covers_worker(worker)
+        if drained or worker.name in self._leaving:
+            table.mark_leaving(worker.name, now)
+        else:
+            table.mark_live(worker.name, now)
+
+    def _build(
+        self, name: str, environment: Environment, service: str
+    ) -> UpstreamChoice:
+        setup = ChoiceSetup(
+            region=self._node.settings.region,
+            service_time=environment.services[service].service_time,
+            instances=self.live_instances(),
+            bounds=environment.bounds,
+            random=self._node.random,
+            sink=self._node.sink,
+            invariants=self._node.invariants,
+        )
+        choice: UpstreamChoice = upstream_choices.get(name)(setup)
+        return choice
+
+    def _update_budgets(self) -> None:
+        instances = self.live_instances()
+        for worker in self._workers.values():
+            limit = max(1, worker.connections // instances)
+            interval = worker.connection_cost * instances
+            budget = self._budgets.setdefault(
+                worker.address, ConnectionBudget(limit, interval)
+            )
+            budget.limit, budget.interval = limit, interval
+
+    def _resize(self) -> None:
+        instances = self.live_instances()
+        for choice in self._choices.values():
+            choice.table.resize(instances)
+        self._update_budgets()
+
+
+def _by_service(environment: Environment) -> Iterator[tuple[str, tuple[Worker, ...]]]:
+    ordered = sorted(environment.workers.values(), key=lambda w: w.service)
+    for service, workers in groupby(ordered, key=lambda w: w.service):
+        yield service, tuple(workers)
