Recognise a claim by attempt and instance, and count what it costs

Two instances whose random sources stood alike drew the same attempt identifier, and each took the claim for its own: the measurement showed two updates for two requests at once, and the request ran twice. A claim is now an attempt's own only if it names the same instance too; the new test failed before.

--- a/packages/daemon/src/sycamorenotch_daemon/_claim_settler.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_claim_settler.py
@@ -219,7 +219,8 @@
     def _take_version(self, settlement: Settlement, found: ClaimFound) -> bool:
         """Note the version of a claim that the attempt still holds."""
         held = found.claim.state is ClaimState.HELD
-        own = found.claim.attempt == settlement.claim.attempt
+        claim = settlement.claim
+        own = found.claim.is_of(claim.attempt, claim.instance)
         settlement.expected = found.version if held and own else None
         return held and own
 
--- a/packages/policies/src/sycamorenotch_policies/_claims.py
+++ b/packages/policies/src/sycamorenotch_policies/_claims.py
@@ -71,6 +71,10 @@
     expires: datetime
     answer: RecordedAnswer | None = None
 
+    def is_of(self, attempt: AttemptId, instance: str) -> bool:
+        """Return whether an attempt of an instance wrote the claim."""
+        return self.attempt == attempt and self.instance == instance
+
     def done(self, answer: CallAnswer) -> Claim:
         """Return the claim with the outcome of its attempt."""
         return replace(self, state=ClaimState.DONE, answer=record_answer(answer))
--- /dev/null
+++ b/packages/workbench/src/sycamorenotch_workbench/claim_costs.py
@@ -0,0 +1,224 @@
+"""Counts the store calls that claims cost: ``python -m`` this module."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from random import Random
+from typing import Any
+from typing import final
+
+from expression import Error
+from expression import Ok
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from sycamorenotch_daemon import Node
+from sycamorenotch_daemon._claim_settler import ClaimSettler
+from sycamorenotch_daemon._claim_stage import ClaimStage
+from sycamorenotch_daemon._clock import ReactorClock
+from sycamorenotch_daemon._node import InForce
+from sycamorenotch_daemon._store_guard import StoreGuard
+from sycamorenotch_documents import parse_environment
+from sycamorenotch_documents import parse_settings
+from sycamorenotch_kernel import Call
+from sycamorenotch_kernel import CallAnswer
+from sycamorenotch_kernel import CallResult
+from sycamorenotch_kernel import ErrorKind
+from sycamorenotch_kernel import EventList
+from sycamorenotch_kernel import Failure
+from sycamorenotch_kernel import InvariantMonitor
+from sycamorenotch_kernel import RecentDecisions
+from sycamorenotch_kernel import load_plugins
+from sycamorenotch_standins import MemoryStore
+from sycamorenotch_standins import ObjectTable
+
+EXAMPLE = Path(__file__).parents[4] / "examples" / "vatukoula.ini"
+WRITES_PER_SECOND = 300
+ROUNDS = 100
+SEED = 1
+STEP_S = 0.01
+WRITE_CALLS = ("create", "update", "delete")
+
+SETTINGS = """\
+[instance]
+id = {name}
+environment = production
+region = viti-west
+data_centre = nadi
+
+[listen]
+callers = 127.0.0.1:1
+peers = 127.0.0.1:2
+
+[store]
+adapter = memory
+calls_per_second = 1000000
+
+[secrets]
+operator_token_file = none
+"""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ClaimCost:
+    """Store calls for each request of one course of events.
+
+    :param calls: calls for each request, by kind.
+    """
+
+    course: str
+    calls: dict[str, float]
+
+    @property
+    def writes(self) -> float:
+        """Writes for each request."""
+        return sum(self.calls.get(kind, 0.0) for kind in WRITE_CALLS)
+
+
+@final
+class Measurement:
+    """Two instances over one table under a virtual clock."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self._table = ObjectTable()
+        self._text = EXAMPLE.read_text()
+        self._environment = parse_environment(self._text)
+        self.memory: list[MemoryStore] = []
+        self.nodes = [self._node(name) for name in ("first", "second")]
+        self._stages = [self._stage(node) for node in self.nodes]
+        self.upstream_time = 0.02
+        self.shed = False
+
+    def send(self, instance: int, key: str) -> None:
+        """Send one protected request."""
+        node = self.nodes[instance]
+        route = next(r for r in self._environment.routes if not r.idempotent)
+        call = Call(
+            id=node.ids.decision(),
+            route=route,
+            method="POST",
+            path=f"{route.prefix}/1",
+            headers=(),
+            body=b"",
+            client="127.0.0.1",
+            key=key,
+            deadline=node.clock.monotonic() + timedelta(seconds=2),
+            generation=1,
+        )
+        Deferred.fromCoroutine(self._stages[instance].run(call, self._proceed))
+
+    def finish(self) -> None:
+        """Let all requests end."""
+        self.clock.pump([STEP_S] * round(3 / STEP_S))
+
+    def made(self) -> Counter[str]:
+        """Return the calls of both instances by kind."""
+        stores: list[Any] = [node.store for node in self.nodes]
+        return sum((store.calls.made for store in stores), Counter())
+
+    async def _proceed(self, call: Call) -> CallResult:
+        done: Deferred[None] = Deferred()
+        self.clock.callLater(self.upstream_time, done.callback, None)
+        await done
+        if self.shed:
+            return Error(Failure(ErrorKind.UPSTREAM_SHED, "shed"))
+        return Ok(CallAnswer(200, (), b"done"))
+
+    def _node(self, name: str) -> Node:
+        sink = EventList()
+        clock = ReactorClock(self.clock)
+        random = Random(SEED)
+        memory = MemoryStore(self._table, self.clock)
+        self.memory.append(memory)
+        store = StoreGuard(memory, self.clock, clock, random, sink, 1e6)
+        return Node(
+            settings=parse_settings(SETTINGS.format(name=name)),
+            reactor=self.clock,
+            clock=clock,
+            random=random,
+            sink=sink,
+            decisions=RecentDecisions(),
+            invariants=InvariantMonitor(sink, strict=True),
+            store=store,
+            directory=store,
+            token="",
+        )
+
+    def _stage(self, node: Node) -> ClaimStage:
+        ClaimSettler(node)
+        node.configuration.put(InForce(self._environment, 1, "", self._text))
+        return ClaimStage(node)
+
+
+def first_requests(run: Measurement, number: int) -> None:
+    """Send a request with a new key."""
+    run.send(0, f"key-{number}")
+
+
+def repeats(run: Measurement, number: int) -> None:
+    """Send a request whose answer is recorded."""
+    run.send(1, "key")
+
+
+def requests_at_once(run: Measurement, number: int) -> None:
+    """Send the same request through two instances at once."""
+    run.send(0, f"key-{number}")
+    run.send(1, f"key-{number}")
+
+
+def shed_requests(run: Measurement, number: int) -> None:
+    """Send a request that the upstream states not to have run."""
+    run.shed = True
+    run.send(0, f"key-{number}")
+
+
+def lost_creates(run: Measurement, number: int) -> None:
+    """Send a request whose create takes effect and whose answer is lost."""
+    run.memory[0].fault.set("lose_answers", 0, 1)
+    run.send(0, f"key-{number}")
+
+
+COURSES: tuple[Callable[[Measurement, int], None], ...] = (
+    first_requests,
+    repeats,
+    requests_at_once,
+    shed_requests,
+    lost_creates,
+)
+
+
+def measure(course: Callable[[Measurement, int], None]) -> ClaimCost:
+    """Count the store calls of one course of events."""
+    run = Measurement()
+    if course is repeats:
+        run.send(0, "key")
+        run.finish()
+    before = run.made()
+    for number in range(ROUNDS):
+        course(run, number)
+        run.finish()
+    made = run.made() - before
+    per_round = {kind: count / ROUNDS for kind, count in sorted(made.items())}
+    return ClaimCost(course.__name__.replace("_", " "), per_round)
+
+
+def main() -> None:
+    """Print a table of the costs and of the rates that they allow."""
+    load_plugins()
+    print(f"store calls for each round, {ROUNDS} rounds, seed {SEED}")
+    for cost in map(measure, COURSES):
+        calls = ", ".join(f"{kind} {count:.2f}" for kind, count in cost.calls.items())
+        rate = WRITES_PER_SECOND / cost.writes
+        print(
+            f"{cost.course:18} {calls:40} {rate:6.0f} rounds/s in {WRITES_PER_SECOND}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/testing/daemon/claims/test_claim_stage.py
+++ b/testing/daemon/claims/test_claim_stage.py
@@ -232,3 +232,15 @@
         fleet.first.send(fleet.upstream, fleet.first.call(key=f"key-{number}"))
     assert fleet.first.settler.waiting == 512
     assert fleet.upstream.by_key.total() == 600
+
+
+def test_request_runs_once_when_two_instances_draw_one_attempt_identifier(
+    fleet: Any,
+) -> None:
+    fleet.second.node.random.setstate(fleet.first.node.random.getstate())
+    first, second = fleet.first.call(), fleet.second.call()
+    assert first.id == second.id
+    fleet.first.send(fleet.upstream, first)
+    fleet.second.send(fleet.upstream, second)
+    fleet.pass_time(1)
+    assert fleet.upstream.by_key == {"key": 1}
