Tell a restarted instance's attempts apart by their time

An instance that restarts with its random source in the same state draws the attempt identifiers of its former life. The time of creation now belongs to the identity of an attempt.

--- a/packages/policies/src/sycamorenotch_policies/_claim_protocol.py
+++ b/packages/policies/src/sycamorenotch_policies/_claim_protocol.py
@@ -150,7 +150,7 @@
     def _step_name(self, event: ClaimInput) -> str:
         if not isinstance(event, ClaimFound):
             return STEP_NAMES[type(event)]
-        if event.claim.is_of(self.request.attempt, self.request.instance):
+        if self.claim is not None and event.claim.has_attempt_of(self.claim):
             return "found-own"
         if event.claim.fingerprint != self.request.fingerprint:
             return "found-other-request"
--- a/packages/policies/src/sycamorenotch_policies/_claims.py
+++ b/packages/policies/src/sycamorenotch_policies/_claims.py
@@ -71,9 +71,17 @@
     expires: datetime
     answer: RecordedAnswer | None = None
 
-    def is_of(self, attempt: AttemptId, instance: str) -> bool:
-        """Return whether an attempt of an instance wrote the claim."""
-        return self.attempt == attempt and self.instance == instance
+    def has_attempt_of(self, other: Claim) -> bool:
+        """Return whether one attempt wrote both claims.
+
+        The identifier is drawn at random; instance and time keep two attempts
+        apart even when their random sources stand alike.
+        """
+        return (self.attempt, self.instance, self.created) == (
+            other.attempt,
+            other.instance,
+            other.created,
+        )
 
     def done(self, answer: CallAnswer) -> Claim:
         """Return the claim with the outcome of its attempt."""
--- a/testing/daemon/claims/test_claim_stage.py
+++ b/testing/daemon/claims/test_claim_stage.py
@@ -244,3 +244,13 @@
     fleet.second.send(fleet.upstream, second)
     fleet.pass_time(1)
     assert fleet.upstream.by_key == {"key": 1}
+
+
+def test_request_runs_once_when_restarted_instance_draws_the_same_identifiers(
+    fleet: Any,
+) -> None:
+    fleet.first.send(fleet.upstream)
+    fleet.pass_time(1)
+    fleet.instance("first").send(fleet.upstream)
+    fleet.pass_time(1)
+    assert fleet.upstream.by_key == {"key": 1}
