Add metrics and the report on service-level burn

Change: each daemon counts calls by service, rank and outcome, latencies, events by number, store calls, violations and the generation in force, in a registry of its own. Each objective has counts over 5 min, 1 h, 6 h and 3 days in packed rings of fixed size, a mergeable histogram of latencies, and the error kinds and newest decisions that spent the budget. Conclusion: the windows equal those of a full list in 100 generated cases; a test reads every log message of a session and finds no token and no body.

--- a/packages/cli/src/sycamorenotch_cli/_messages.py
+++ b/packages/cli/src/sycamorenotch_cli/_messages.py
@@ -6,6 +6,8 @@
 
 from pydantic import BaseModel
 
+from sycamorenotch_kernel import BurnWindow
+
 
 class DrainModel(BaseModel):
     """A drain in force."""
@@ -91,3 +93,39 @@
     reasons: tuple[str, ...]
     facts: tuple[FactModel, ...]
     causes: tuple[str, ...]
+
+
+class CountsModel(BaseModel):
+    """Requests of one objective in one window."""
+
+    total: int
+    failed: int
+    slow: int
+
+
+class SpenderModel(BaseModel):
+    """A cause that spent error budget."""
+
+    kind: str
+    count: int
+    decisions: tuple[str, ...]
+
+
+class ObjectiveModel(BaseModel):
+    """Counts of one objective on one instance."""
+
+    service: str
+    rank: str
+    availability: float
+    latency_s: float
+    latency_share: float
+    windows: dict[BurnWindow, CountsModel]
+    histogram: str
+    spent: tuple[SpenderModel, ...]
+
+
+class BurnModel(BaseModel):
+    """Counts of every objective on one instance."""
+
+    instance: str
+    objectives: tuple[ObjectiveModel, ...]
--- a/packages/daemon/src/sycamorenotch_daemon/_build.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_build.py
@@ -13,6 +13,9 @@
 from sycamorenotch_daemon._clock import SystemClock
 from sycamorenotch_daemon._daemon import Daemon
 from sycamorenotch_daemon._events import EliotSink
+from sycamorenotch_daemon._metrics import FanOutSink
+from sycamorenotch_daemon._metrics import Metrics
+from sycamorenotch_daemon._metrics import MetricsSink
 from sycamorenotch_daemon._node import Node
 from sycamorenotch_daemon._store_guard import StoreCalls
 from sycamorenotch_daemon._store_guard import StoreGuard
@@ -54,12 +57,14 @@
     install_literal_resolver(reactor)
     around = Surroundings() if surroundings is None else surroundings
     adapter = store_adapters.get(settings.store_adapter)(settings.store_url, reactor)
+    metrics = Metrics()
+    sink = FanOutSink(around.sink, MetricsSink(metrics))
     store = StoreGuard(
         adapter,
         reactor,
         around.clock,
         around.random,
-        around.sink,
+        sink,
         settings.calls_per_second,
     )
     node = Node(
@@ -67,14 +72,15 @@
         reactor=reactor,
         clock=around.clock,
         random=around.random,
-        sink=around.sink,
+        sink=sink,
         decisions=RecentDecisions(),
-        invariants=InvariantMonitor(around.sink, strict=around.strict),
+        invariants=InvariantMonitor(sink, strict=around.strict),
         store=store,
         directory=store,
         token=_secret(settings.operator_token_file),
         peer_key=_secret(settings.peer_key_file).encode(),
     )
+    node.provide(Metrics, metrics)
     node.provide(StoreCalls, store.calls)
     return Daemon(node)
 
--- a/packages/daemon/src/sycamorenotch_daemon/_callers.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_callers.py
@@ -18,6 +18,7 @@
 from sycamorenotch_daemon._events import FrontEndFailed
 from sycamorenotch_daemon._headers import end_to_end
 from sycamorenotch_daemon._lookups import Lookups
+from sycamorenotch_daemon._metrics import MetricsPage
 from sycamorenotch_daemon._node import Node
 from sycamorenotch_daemon._problems import write_problem
 from sycamorenotch_kernel import Call
@@ -41,12 +42,13 @@
 class CallersFrontEnd:
     """Serves callers over HTTP."""
 
-    after: ClassVar[tuple[str, ...]] = ("calls", "instances")
+    after: ClassVar[tuple[str, ...]] = ("calls", "instances", "metrics")
     app = Klein()
 
     def __init__(self, node: Node) -> None:
         self._node = node
         self._calls = node.require(CallPath)
+        self._page = node.require(MetricsPage)
         self._lookups = Lookups(node)
         settings = node.settings
         self._listener = HttpListener(
@@ -74,6 +76,14 @@
             return b"not ready\n"
         return b"ready\n"
 
+    @app.route("/metrics", methods=["GET"])
+    def _metrics(self, req: Request) -> bytes:
+        accept = req.requestHeaders.getRawHeaders("Accept") or []
+        body, headers = self._page.render(accept)
+        for name, value in headers.items():
+            req.setHeader(name, value)
+        return body
+
     @app.route("/v1/lookup", methods=["GET"])
     def _lookup(self, req: Request) -> bytes:
         return self._lookups.handle(req)
--- a/packages/daemon/src/sycamorenotch_daemon/_calls.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from datetime import timedelta
 from functools import reduce
 from typing import ClassVar
 from typing import final
@@ -23,6 +25,8 @@
 from sycamorenotch_kernel import call_stages
 from sycamorenotch_kernel import components
 
+CallObserver = Callable[[Call, CallResult, timedelta], None]
+
 
 @components.register("calls")
 @final
@@ -34,6 +38,7 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self.in_flight = 0
+        self._observers: list[CallObserver] = []
         stages = [stage(node) for stage in ordered(call_stages)]
         self._first = reduce(_chain, reversed(stages), _unanswered)
         node.provide(CallPath, self)
@@ -47,13 +52,21 @@
     async def run(self, call: Call) -> CallResult:
         """Run one call and record what was decided."""
         self.in_flight += 1
+        started = self._node.clock.monotonic()
         try:
             result = await self._first(call)
         finally:
             self.in_flight -= 1
+        latency = self._node.clock.monotonic() - started
+        for observer in self._observers:
+            observer(call, result, latency)
         self._record(call, result)
         return result
 
+    def observe(self, observer: CallObserver) -> None:
+        """Call a function with each finished call, its result and latency."""
+        self._observers.append(observer)
+
     def _record(self, call: Call, result: CallResult) -> None:
         route, rank = call.route.name, call.rank.label
         if result.is_ok():
--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -2,6 +2,14 @@
 
 from __future__ import annotations
 
+from sycamorenotch_kernel._burn import ALARM_THRESHOLDS
+from sycamorenotch_kernel._burn import ALARM_WINDOWS
+from sycamorenotch_kernel._burn import WINDOW_LENGTHS
+from sycamorenotch_kernel._burn import BurnAlarm
+from sycamorenotch_kernel._burn import BurnCounts
+from sycamorenotch_kernel._burn import BurnTarget
+from sycamorenotch_kernel._burn import BurnWindow
+from sycamorenotch_kernel._burn import raised_alarms
 from sycamorenotch_kernel._calls import Call
 from sycamorenotch_kernel._calls import CallAnswer
 from sycamorenotch_kernel._calls import CallResult
@@ -106,15 +114,22 @@
 from sycamorenotch_kernel._registry import UnknownNameError
 
 __all__ = [
+    "ALARM_THRESHOLDS",
+    "ALARM_WINDOWS",
     "ANSWERS",
     "DEFAULT_RECORD_LIMIT",
     "IDENTIFIER_BITS",
     "PLUGIN_GROUP",
     "REGISTRIES",
+    "WINDOW_LENGTHS",
     "Answer",
     "Attempt",
     "AttemptId",
     "Bounds",
+    "BurnAlarm",
+    "BurnCounts",
+    "BurnTarget",
+    "BurnWindow",
     "Call",
     "CallAnswer",
     "CallResult",
@@ -203,6 +218,7 @@
     "message",
     "message_types",
     "operator_endpoints",
+    "raised_alarms",
     "reports",
     "retry_rules",
     "steering_policies",
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -13,6 +13,8 @@
 from sycamorenotch_policies._admission import Ticket
 from sycamorenotch_policies._admission import UnlimitedAdmission
 from sycamorenotch_policies._blocks import BlockTable
+from sycamorenotch_policies._burn import CountRing
+from sycamorenotch_policies._burn import WindowedCounts
 from sycamorenotch_policies._choice import Choice
 from sycamorenotch_policies._choice import NearestRegion
 from sycamorenotch_policies._choice import RoundRobin
@@ -112,6 +114,7 @@
     "ClaimWritten",
     "ConcurrencyLimit",
     "ConnectionBudget",
+    "CountRing",
     "Demand",
     "DispatchCall",
     "DispatchEnded",
@@ -151,6 +154,7 @@
     "UnlimitedAdmission",
     "UpstreamChoice",
     "WaitForClaim",
+    "WindowedCounts",
     "WorkerReport",
     "WorkerTable",
     "WriteClaim",
