Decide on the plan's lease and keep it in the store

One instance has to make the plan, and it may be paused, cut off or killed. The lease is taken and renewed by conditional update; an observer counts it as lapsed when its version has not changed for its duration on its own monotonic clock, and starts anew after a failed read.

--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_lease.py
@@ -0,0 +1,172 @@
+"""Keeps the lease of the instance that makes the plan."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import ClassVar
+from typing import final
+
+from expression import Result
+
+from sycamorenotch_daemon._background import Background
+from sycamorenotch_daemon._instances import InstanceView
+from sycamorenotch_daemon._lease_codec import LEASE_KIND
+from sycamorenotch_daemon._lease_codec import decode_lease
+from sycamorenotch_daemon._lease_codec import encode_lease
+from sycamorenotch_daemon._lease_events import LeaseAcquired
+from sycamorenotch_daemon._lease_events import LeaseLost
+from sycamorenotch_daemon._lease_events import LeaseReleased
+from sycamorenotch_daemon._lease_events import LeaseStoreFailed
+from sycamorenotch_daemon._node import Node
+from sycamorenotch_kernel import InstanceId
+from sycamorenotch_kernel import StoredObject
+from sycamorenotch_kernel import StoreError
+from sycamorenotch_kernel import StoreFault
+from sycamorenotch_kernel import components
+from sycamorenotch_policies import Lease
+from sycamorenotch_policies import LeaseCommand
+from sycamorenotch_policies import LeaseFailed
+from sycamorenotch_policies import LeaseFound
+from sycamorenotch_policies import LeaseInput
+from sycamorenotch_policies import LeaseMissing
+from sycamorenotch_policies import LeaseWritten
+from sycamorenotch_policies import ReadLease
+from sycamorenotch_policies import lease_candidates
+
+DURATION = timedelta(seconds=6)
+STEP_INTERVAL = DURATION / 3
+CALL_TIMEOUT = timedelta(seconds=1)
+MAXIMUM_DELAY = timedelta(seconds=30)
+MAXIMUM_DOUBLINGS = 6
+
+
+@components.register("lease")
+@final
+class PlanLease:
+    """Takes, renews and gives up the lease.
+
+    Only a few instances, chosen by rendezvous hashing, call the store.
+    """
+
+    after: ClassVar[tuple[str, ...]] = ("instances",)
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._name = f"plan.{node.settings.environment}"
+        self._lease = Lease(InstanceId(node.settings.instance), DURATION)
+        self._loop = Background(node.reactor, node.sink, self._turn)
+        self._failures = 0
+        self._acting_term: int | None = None
+        node.provide(PlanLease, self)
+
+    @property
+    def term(self) -> int:
+        """The newest term that was seen, or 0."""
+        return self._lease.term
+
+    @property
+    def holder(self) -> InstanceId | None:
+        """The newest holder that was seen."""
+        return self._lease.holder
+
+    def is_held(self) -> bool:
+        """Return whether this instance may act as the holder at this moment."""
+        return self._lease.is_held(self._node.clock.monotonic())
+
+    async def start(self) -> None:
+        """Start to step; the first step comes after a part of the interval."""
+        self._loop.start(self._node.random.random() * STEP_INTERVAL)
+
+    async def stop(self) -> None:
+        """Stop, and give the lease up if it is held."""
+        self._loop.stop()
+        now = self._node.clock.monotonic()
+        command = self._lease.release(now, self._node.ids.attempt())
+        if command is not None:
+            self._take(await self._perform(command))
+            self._node.sink.emit(LeaseReleased(self._name, self._lease.term))
+
+    async def step(self) -> None:
+        """Make one call to the store, if this instance is a candidate."""
+        candidate = self._is_candidate()
+        if candidate or self._acting_term is not None:
+            now = self._node.clock.monotonic()
+            attempt = self._node.ids.attempt()
+            command = self._lease.step(now, attempt, candidate=candidate)
+            self._take(await self._perform(command))
+        self._report()
+
+    async def _turn(self) -> timedelta:
+        await self.step()
+        return self._delay()
+
+    def _delay(self) -> timedelta:
+        if not self._failures:
+            return STEP_INTERVAL * (0.8 + 0.2 * self._node.random.random())
+        growth: int = 2 ** min(self._failures, MAXIMUM_DOUBLINGS)
+        longest = min(STEP_INTERVAL * growth / 2, MAXIMUM_DELAY)
+        return STEP_INTERVAL / 4 + longest * self._node.random.random()
+
+    def _is_candidate(self) -> bool:
+        instances = self._node.require(InstanceView).instances()  # type: ignore[type-abstract]
+        me = InstanceId(self._node.settings.instance)
+        return not self._node.stopping and me in lease_candidates(self._name, instances)
+
+    def _take(self, event: LeaseInput) -> None:
+        self._lease.feed(event, self._node.clock.monotonic())
+        if not isinstance(event, LeaseFailed):
+            self._failures = 0
+            return
+        if not self._failures:
+            self._node.sink.emit(LeaseStoreFailed(self._name, event.detail))
+        self._failures += 1
+
+    def _report(self) -> None:
+        term = self._lease.term if self.is_held() else None
+        if term == self._acting_term:
+            return
+        if self._acting_term is not None:
+            holder = self._lease.holder or ""
+            self._node.sink.emit(LeaseLost(self._name, self._acting_term, holder))
+        if term is not None:
+            self._node.sink.emit(LeaseAcquired(self._name, term))
+        self._acting_term = term
+
+    async def _perform(self, command: LeaseCommand) -> LeaseInput:
+        store = self._node.store
+        if isinstance(command, ReadLease):
+            return _read(await store.get(LEASE_KIND, self._name, CALL_TIMEOUT))
+        value = encode_lease(command.record)
+        if command.expected is None:
+            return _written(
+                await store.create(LEASE_KIND, self._name, value, CALL_TIMEOUT)
+            )
+        return _written(
+            await store.update(
+                LEASE_KIND, self._name, value, command.expected, CALL_TIMEOUT
+            )
+        )
+
+
+def _read(result: Result[StoredObject, StoreError]) -> LeaseInput:
+    if result.is_ok():
+        return _found(result.ok)
+    if result.error.fault is StoreFault.NOT_FOUND:
+        return LeaseMissing()
+    return LeaseFailed(f"{result.error.fault.value}: {result.error.detail}")
+
+
+def _written(result: Result[StoredObject, StoreError]) -> LeaseInput:
+    if result.is_ok():
+        return LeaseWritten(result.ok.version)
+    current = result.error.current
+    if result.error.fault is StoreFault.CONFLICT and current is not None:
+        return _found(current)
+    return _read(result)
+
+
+def _found(stored: StoredObject) -> LeaseInput:
+    decoded = decode_lease(stored.value)
+    if decoded.is_error():
+        return LeaseFailed(decoded.error)
+    return LeaseFound(decoded.ok, stored.version)
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -54,6 +54,17 @@
 from sycamorenotch_policies._grants import GrantDecision
 from sycamorenotch_policies._grants import apportion
 from sycamorenotch_policies._grants import regrant
+from sycamorenotch_policies._lease import Lease
+from sycamorenotch_policies._lease import LeaseCommand
+from sycamorenotch_policies._lease import LeaseFailed
+from sycamorenotch_policies._lease import LeaseFound
+from sycamorenotch_policies._lease import LeaseInput
+from sycamorenotch_policies._lease import LeaseMissing
+from sycamorenotch_policies._lease import LeaseRecord
+from sycamorenotch_policies._lease import LeaseWritten
+from sycamorenotch_policies._lease import ReadLease
+from sycamorenotch_policies._lease import WriteLease
+from sycamorenotch_policies._lease import lease_candidates
 from sycamorenotch_policies._ledger import ShiftLedger
 from sycamorenotch_policies._lookup import LookupAnswer
 from sycamorenotch_policies._lookup import LookupTable
@@ -125,6 +136,14 @@
     "GrantDecision",
     "GrantHolding",
     "InstanceContact",
+    "Lease",
+    "LeaseCommand",
+    "LeaseFailed",
+    "LeaseFound",
+    "LeaseInput",
+    "LeaseMissing",
+    "LeaseRecord",
+    "LeaseWritten",
     "LoadReport",
     "LookupAnswer",
     "LookupTable",
@@ -139,6 +158,7 @@
     "Queued",
     "RankedAdmission",
     "ReadClaim",
+    "ReadLease",
     "RecordedAnswer",
     "Refused",
     "Retry",
@@ -158,9 +178,11 @@
     "WorkerReport",
     "WorkerTable",
     "WriteClaim",
+    "WriteLease",
     "apportion",
     "assess",
     "fingerprint",
+    "lease_candidates",
     "make_plan",
     "regrant",
     "sign_request",
