Make the plan at the holder of the lease and keep it in force elsewhere

The steering policies had no caller. The holder runs the document's policy every two seconds and when the configuration changes, checks its clock right before the write, and replaces the plan on the condition of its version; the first plan of a term is always written, which fences off earlier holders.

--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_plan_holder.py
@@ -0,0 +1,190 @@
+"""Makes and writes the plan while this instance holds the lease."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import ClassVar
+from typing import final
+
+from sycamorenotch_daemon._background import Background
+from sycamorenotch_daemon._instances import InstanceView
+from sycamorenotch_daemon._lease import PlanLease
+from sycamorenotch_daemon._node import InForce
+from sycamorenotch_daemon._node import Node
+from sycamorenotch_daemon._plan_codec import PLAN_KIND
+from sycamorenotch_daemon._plan_codec import StoredPlan
+from sycamorenotch_daemon._plan_codec import encode_plan
+from sycamorenotch_daemon._plan_contacts import PlanContacts
+from sycamorenotch_daemon._plan_events import PlanLeaseLapsed
+from sycamorenotch_daemon._plan_events import PlanNotWritten
+from sycamorenotch_daemon._plan_events import PlanWritten
+from sycamorenotch_daemon._plan_watch import PlanWatch
+from sycamorenotch_kernel import DecisionKind
+from sycamorenotch_kernel import DecisionRecord
+from sycamorenotch_kernel import DrainKind
+from sycamorenotch_kernel import Drains
+from sycamorenotch_kernel import Fact
+from sycamorenotch_kernel import InstanceId
+from sycamorenotch_kernel import components
+from sycamorenotch_policies import PlanDecision
+from sycamorenotch_policies import SteeringView
+from sycamorenotch_policies import make_plan
+
+PLAN_INTERVAL = timedelta(seconds=2)
+WRITE_TIMEOUT = timedelta(seconds=1)
+
+
+@components.register("plan-holder")
+@final
+class PlanHolder:
+    """Runs the document's steering policy every few seconds and on a change.
+
+    The first plan of a term is always written, so that a holder of an earlier
+    term, which expects an older version, can no longer write one.
+    """
+
+    after: ClassVar[tuple[str, ...]] = ("drains", "instances", "lease", "plan")
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._me = InstanceId(node.settings.instance)
+        self._lease = node.require(PlanLease)
+        self._watch = node.require(PlanWatch)
+        self._loop = Background(node.reactor, node.sink, self._turn)
+        self._term: int | None = None
+        self._written_term: int | None = None
+        self._contacts = PlanContacts(timedelta())
+        # Whether the store is known to hold the plan that is in force here.
+        self._settled = False
+        node.provide(PlanHolder, self)
+
+    async def start(self) -> None:
+        """Start to make plans."""
+        self._loop.start(PLAN_INTERVAL)
+        self._node.configuration.subscribe(self._on_configuration)
+
+    async def stop(self) -> None:
+        """Stop making plans."""
+        self._loop.stop()
+
+    def confirms(self, instance: InstanceId, sequence: int) -> bool:
+        """Return whether the plan of an instance is the one in force.
+
+        A true answer renews the instance's loans.
+
+        :param sequence: the plan that is in force at the instance, with its
+            requests in flight inside the grants.
+        """
+        plan = self._watch.plan()
+        acting = self._settled and self._is_acting()
+        if not acting or plan is None:
+            return False
+        self._contacts.report(instance, sequence)
+        if sequence != plan.sequence:
+            return False
+        self._contacts.confirm(instance, self._node.clock.monotonic())
+        return True
+
+    def _on_configuration(self, _: InForce) -> None:
+        if self._lease.is_held():
+            self._loop.wake()
+
+    async def _turn(self) -> timedelta:
+        current = self._node.configuration.current
+        if self._lease.is_held() and current is not None:
+            await self._make_plan(current)
+        return PLAN_INTERVAL
+
+    async def _make_plan(self, current: InForce) -> None:
+        if not self._settled or self._term != self._lease.term:
+            if not await self._watch.read():
+                return
+            self._begin_term()
+        previous = self._watch.plan()
+        view = self._view(current)
+        decision = make_plan(view, previous, self._node.clock.now())
+        for event in decision.events:
+            self._node.sink.emit(event)
+        if decision.changed or self._written_term != self._term:
+            await self._write(decision)
+
+    def _begin_term(self) -> None:
+        if self._term != self._lease.term:
+            self._contacts = PlanContacts(self._node.clock.monotonic())
+        self._term = self._lease.term
+        self._settled = True
+
+    def _view(self, current: InForce) -> SteeringView:
+        instances = self._node.require(InstanceView).instances()  # type: ignore[type-abstract]
+        plan = self._watch.plan()
+        grants = () if plan is None else plan.grants
+        outstanding = () if plan is None else plan.outstanding
+        holding = (
+            *(grant.instance for grant in grants),
+            *(item.grant.instance for item in outstanding),
+        )
+        now = self._node.clock.monotonic()
+        listed = (item.id for item in instances)
+        return SteeringView(
+            environment=current.environment,
+            generation=current.generation,
+            holder=self._me,
+            instances=instances,
+            contacts=self._contacts.update(listed, holding, now),
+            drained=self._drained_regions(current),
+        )
+
+    def _drained_regions(self, current: InForce) -> frozenset[str]:
+        drains = self._node.require(Drains).current
+        named = {d.name for d in drains if d.kind is DrainKind.DATA_CENTRE}
+        regions = current.environment.regions.values()
+        return frozenset(r.name for r in regions if named.issuperset(r.data_centres))
+
+    async def _write(self, decision: PlanDecision) -> None:
+        assert self._term is not None
+        plan, term = decision.plan, self._term
+        value = encode_plan(StoredPlan(term, plan))
+        if not self._is_acting():
+            # The process may have been paused while the plan was made.
+            self._node.sink.emit(PlanLeaseLapsed(term, plan.sequence))
+            return
+        self._settled = False
+        store, name = self._node.store, self._node.settings.environment
+        version = self._watch.version
+        if version is None:
+            result = await store.create(PLAN_KIND, name, value, WRITE_TIMEOUT)
+        else:
+            result = await store.update(PLAN_KIND, name, value, version, WRITE_TIMEOUT)
+        if result.is_error():
+            detail = f"{result.error.fault.value}: {result.error.detail}"
+            self._node.sink.emit(PlanNotWritten(term, plan.sequence, detail))
+            return
+        self._settled = self._watch.accept(result.ok)
+        self._written_term = term
+        self._record(decision, term)
+
+    def _is_acting(self) -> bool:
+        return self._lease.is_held() and self._lease.term == self._term
+
+    def _record(self, decision: PlanDecision, term: int) -> None:
+        plan = decision.plan
+        identifier = self._node.ids.decision()
+        reasons = decision.reasons or ("This is the first plan of the term.",)
+        self._node.sink.emit(
+            PlanWritten(identifier, term, plan.sequence, " ".join(reasons))
+        )
+        self._node.decisions.record(
+            DecisionRecord(
+                id=identifier,
+                kind=DecisionKind.SHIFT,
+                at=plan.made_at,
+                generation=plan.generation,
+                outcome=f"plan {plan.sequence} of term {term} is written",
+                reasons=reasons,
+                facts=(
+                    Fact("routes", str(len(plan.routes))),
+                    Fact("grants", str(len(plan.grants))),
+                    Fact("shifts in the window", str(len(plan.shifts))),
+                ),
+            )
+        )
