Test exchanges with upstreams that answer badly

Cause: nothing showed what a cut, crossed, late or missing answer leads to. Change: a scripted upstream on loopback; a body that is given up closes its connection, which the proxy of the transport could not abort.

--- a/packages/daemon/src/sycamorenotch_daemon/_upstream_client.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_upstream_client.py
@@ -124,9 +124,10 @@
             self.done.errback(reason)
 
     def _abort(self, _: Deferred[bytes]) -> None:
-        abort = getattr(self.transport, "abortConnection", None)
-        if abort is not None:
-            abort()
+        # The library's proxy of the transport has no way to abort, but nothing
+        # is left to be written, so that the connection closes at once.
+        if self.transport is not None:
+            self.transport.loseConnection()
 
 
 @final
--- /dev/null
+++ b/testing/daemon/calls/test_upstream_client.py
@@ -0,0 +1,170 @@
+"""Tests of exchanges with an upstream that answers badly or not at all."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from sycamorenotch_daemon._upstream_client import UpstreamClient
+from sycamorenotch_kernel import ErrorKind
+from sycamorenotch_kernel import Ran
+from sycamorenotch_policies import ConnectionBudget
+from sycamorenotch_policies import Outcome
+
+LIMIT = timedelta(seconds=5)
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nRequest-Id: d-1\r\n\r\nwhole"
+
+
+@pytest.fixture
+def client(run_in_reactor):
+    client = UpstreamClient(reactor, lambda address: None)
+
+    async def close() -> None:
+        await client.close()
+
+    yield client
+    run_in_reactor(close())
+
+
+@pytest.fixture
+def send(client, upstream, make_call, make_worker, run_in_reactor):
+    def send(limit: timedelta = LIMIT):
+        worker = make_worker(upstream.address)
+        return run_in_reactor(client.send(make_call(), worker, limit))
+
+    return send
+
+
+def test_whole_answer_is_handed_on_with_every_header(send, upstream) -> None:
+    upstream.answer = WHOLE.replace(b"\r\n\r\n", b"\r\nX-A: 1\r\nX-A: 2\r\n\r\n")
+    answer = send().ok
+    assert (answer.status, answer.body) == (200, b"whole")
+    assert answer.headers == (("X-A", "1"), ("X-A", "2"))
+    (request,) = upstream.requests
+    assert request.startswith(b"GET /balances/1?a=b HTTP/1.1\r\n")
+    assert request.count(b"Accept:") == 2
+    assert b"Request-Timeout: 5.000\r\n" in request
+
+
+def test_no_cookie_of_one_caller_reaches_another(send, upstream) -> None:
+    upstream.answer = WHOLE.replace(b"\r\n\r\n", b"\r\nSet-Cookie: a=b\r\n\r\n")
+    assert send().ok.headers == (("Set-Cookie", "a=b"),)
+    send()
+    assert b"cookie" not in upstream.requests[1].lower()
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(WHOLE[:-1], id="cut"),
+        pytest.param(b"HTTP/1.1 200 OK\r\n\r\nwhole", id="length-unknown"),
+        pytest.param(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+            id="last-chunk-missing",
+        ),
+        pytest.param(WHOLE.replace(b"d-1", b"d-2"), id="crossed"),
+        pytest.param(WHOLE[:30], id="headers-cut"),
+        pytest.param(b"nonsense\r\n\r\n", id="no-http"),
+    ],
+)
+def test_answer_is_refused_when_it_is_not_whole_or_not_its_own(
+    send, upstream, answer: bytes
+) -> None:
+    upstream.answer, upstream.close = answer, True
+    error = send().error
+    assert error.failure.kind is ErrorKind.UPSTREAM_FAILED
+    assert error.failure.stated_ran is Ran.UNKNOWN
+    assert error.outcome is Outcome.FAILED
+
+
+def test_worker_counts_as_lost_when_it_closes_before_its_answer(send, upstream) -> None:
+    upstream.abort = True
+    error = send().error
+    assert error.worker_lost
+    assert error.failure.stated_ran is Ran.UNKNOWN
+
+
+def test_request_has_not_run_when_no_connection_was_made(
+    client, make_call, make_worker, run_in_reactor
+) -> None:
+    # Port 9 of loopback has no listener.
+    worker = make_worker("127.0.0.1:9")
+    error = run_in_reactor(client.send(make_call(), worker, LIMIT)).error
+    assert error.failure.stated_ran is Ran.NO
+    assert not error.worker_lost
+
+
+def test_request_has_not_run_when_the_upstream_says_so(send, upstream) -> None:
+    upstream.answer = (
+        b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nRequest-Ran: no\r\n\r\n"
+    )
+    error = send().error
+    assert error.failure.kind is ErrorKind.UPSTREAM_SHED
+    assert error.failure.stated_ran is Ran.NO
+    assert error.outcome is Outcome.SHED
+
+
+async def until(condition) -> None:
+    while not condition():
+        await deferLater(reactor, 0.005)
+
+
+@pytest.mark.parametrize("answer", [b"", WHOLE[:-1]], ids=["silent", "half"])
+def test_connection_is_closed_when_the_deadline_passes(
+    send, upstream, run_in_reactor, answer: bytes
+) -> None:
+    upstream.answer = answer
+    error = send(timedelta(milliseconds=50)).error
+    assert error.failure.kind is ErrorKind.DEADLINE_PASSED
+    assert error.failure.stated_ran is Ran.UNKNOWN
+    assert error.outcome is Outcome.LATE
+    run_in_reactor(until(lambda: upstream.lost == 1))
+
+
+@pytest.mark.parametrize("answer", [b"", WHOLE[:-1]], ids=["silent", "half"])
+def test_connection_is_closed_when_the_caller_goes_away(
+    client, upstream, make_call, make_worker, run_in_reactor, answer: bytes
+) -> None:
+    upstream.answer = answer
+
+    async def scenario() -> None:
+        sending = client.send(make_call(), make_worker(upstream.address), LIMIT)
+        waiting = Deferred.fromCoroutine(sending)
+        await until(lambda: upstream.requests)
+        waiting.cancel()
+        error = (await waiting).error
+        assert error.failure.kind is ErrorKind.CANCELLED
+        assert error.failure.stated_ran is Ran.UNKNOWN
+        await until(lambda: upstream.lost == 1)
+
+    run_in_reactor(scenario())
+
+
+def test_request_has_not_run_when_the_connection_budget_is_used_up(
+    upstream, make_call, make_worker, run_in_reactor
+) -> None:
+    budget = ConnectionBudget(1, timedelta(milliseconds=1))
+    client = UpstreamClient(reactor, {upstream.address: budget}.get)
+    worker = make_worker(upstream.address)
+
+    async def scenario() -> None:
+        first = Deferred.fromCoroutine(client.send(make_call(), worker, LIMIT))
+        await until(lambda: upstream.requests)
+        refused = await client.send(make_call(), worker, LIMIT)
+        assert refused.error.failure.stated_ran is Ran.NO
+        first.cancel()
+        await first
+        await until(lambda: budget.open == 0)
+
+    run_in_reactor(scenario())
+    assert upstream.opened == 1
+
+
+def test_connection_is_used_again_when_answers_are_whole(send, upstream) -> None:
+    upstream.answer = WHOLE
+    assert all(send().is_ok() for _ in range(3))
+    assert upstream.opened == 1
