Give the stand-in upstream connection limits, cold start and poison

Cause: the stand-in accepted any number of connections, was never cold and could not crash on one request only. Change: a site that refuses connections beyond a limit, a service time that falls over the cold start, a fault for one path, and the request's identifier in the answer. Conclusion: the fault interface keeps its fields; path is optional.

--- a/packages/standins/src/sycamorenotch_standins/_faults.py
+++ b/packages/standins/src/sycamorenotch_standins/_faults.py
@@ -34,7 +34,12 @@
 
 
 class UpstreamFault(FaultOrder[UpstreamMode]):
-    """A fault of an upstream worker."""
+    """A fault of an upstream worker.
+
+    :param path: path of the requests that the fault strikes; all if absent.
+    """
+
+    path: str | None = None
 
 
 class StoreFaultOrder(FaultOrder[StoreMode]):
@@ -48,6 +53,7 @@
     def __init__(self) -> None:
         self._mode = "none"
         self._remaining: int | None = None
+        self._path: str | None = None
         self.seconds = DEFAULT_DELAY_S
 
     @property
@@ -55,14 +61,22 @@
         """The mode that is set, without striking."""
         return self._mode
 
-    def set(self, mode: str, seconds: float, count: int | None) -> None:
+    def set(
+        self, mode: str, seconds: float, count: int | None, path: str | None = None
+    ) -> None:
         """Replace the fault in force."""
+        self._path = path
         self._mode = mode
         self.seconds = seconds
         self._remaining = count
 
-    def strike(self) -> str:
-        """Return the mode for one request and count it."""
+    def strike(self, path: str | None = None) -> str:
+        """Return the mode for one request and count it.
+
+        :param path: path of the request, if it has one.
+        """
+        if self._path is not None and self._path != path:
+            return "none"
         if self._mode == "none" or self._remaining is None:
             return self._mode
         struck = self._mode
--- a/packages/standins/src/sycamorenotch_standins/_upstream.py
+++ b/packages/standins/src/sycamorenotch_standins/_upstream.py
@@ -18,6 +18,7 @@
 from sycamorenotch_standins._faults import UpstreamFault
 
 NOT_RUN_HEADER = "Request-Ran"
+COLD_SLOWDOWN = 4
 
 
 @final
@@ -27,6 +28,7 @@
     :param name: name in the environment document.
     :param slots: requests that run at once; more are shed.
     :param service_time: time of one request.
+    :param cold_start: time over which a new worker is slower than usual.
     """
 
     app = Klein()
@@ -37,6 +39,7 @@
         slots: int,
         service_time: timedelta,
         reactor: IReactorTime,
+        cold_start: timedelta = timedelta(),
     ) -> None:
         self.name = name
         self.slots = slots
@@ -46,6 +49,12 @@
         self.running = 0
         self.served = 0
         self._reactor = reactor
+        self._cold_start = cold_start
+        self._started_s = reactor.seconds()
+
+    def restart(self) -> None:
+        """Start cold again, as a new process does."""
+        self._started_s = self._reactor.seconds()
 
     @app.route("/executions", methods=["GET"])
     def _executions(self, req: Request) -> bytes:
@@ -67,12 +76,13 @@
         except ValidationError as exc:
             req.setResponseCode(400)
             return str(exc).encode()
-        self.fault.set(order.mode, order.seconds, order.count)
+        self.fault.set(order.mode, order.seconds, order.count, order.path)
         return _json(req, {})
 
     @app.route("/<path:path>", methods=["GET", "HEAD", "POST", "PUT", "DELETE"])
     async def _run(self, req: Request, path: str) -> object:
-        mode = "drain" if self.fault.mode == "drain" else self.fault.strike()
+        draining = self.fault.mode == "drain"
+        mode = "drain" if draining else self.fault.strike(f"/{path}")
         if mode in ("shed", "drain") or self.running >= self.slots:
             return self._shed(req)
         self.running += 1
@@ -95,11 +105,14 @@
         if key is not None:
             self.executions[key] += 1
         extra = self.fault.seconds if mode == "slow" else 0.0
-        await deferLater(self._reactor, self.service_time.total_seconds() + extra)
+        await deferLater(self._reactor, self._service_time_s() + extra)
         self.served += 1
         if req.finished or req._disconnected:
             return NOT_DONE_YET
         body = self._body(req, path)
+        identifier = req.getHeader("Request-Id")
+        if identifier is not None:
+            req.setHeader("Request-Id", identifier)
         if mode == "cut":
             req.setHeader("Content-Length", str(len(body)))
             req.write(body[: len(body) // 2])
@@ -108,6 +121,12 @@
         req.setHeader("Content-Type", "application/json")
         return body
 
+    def _service_time_s(self) -> float:
+        age_s = self._reactor.seconds() - self._started_s
+        cold_s = self._cold_start.total_seconds()
+        coldness = max(0.0, 1 - age_s / cold_s) if cold_s else 0.0
+        return self.service_time.total_seconds() * (1 + COLD_SLOWDOWN * coldness)
+
     def _body(self, req: Request, path: str) -> bytes:
         answer = {
             "worker": self.name,
--- a/packages/workbench/src/sycamorenotch_workbench/_example.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_example.py
@@ -21,6 +21,7 @@
 from sycamorenotch_documents import parse_environment
 from sycamorenotch_documents import parse_settings
 from sycamorenotch_kernel import Environment
+from sycamorenotch_standins import LimitedSite
 from sycamorenotch_standins import ObjectTable
 from sycamorenotch_standins import StoreApi
 from sycamorenotch_standins import UpstreamWorker
@@ -134,9 +135,12 @@
         ]
         return places[: self._count]
 
-    async def _listen(self, resource: IResource, port: int = 0) -> int:
+    async def _listen(self, resource: IResource) -> int:
         site = Site(resource)
         site.displayTracebacks = False
+        return await self._listen_site(site)
+
+    async def _listen_site(self, site: Site, port: int = 0) -> int:
         endpoint = TCP4ServerEndpoint(self._reactor, port, interface=LOOPBACK)
         listening = await endpoint.listen(site)
         self._ports.append(listening)
@@ -153,7 +157,8 @@
                 worker.name, worker.slots, service.service_time, self._reactor
             )
             port = int(worker.address.rpartition(":")[2])
-            await self._listen(standin.app.resource(), port)
+            site = LimitedSite(standin.app.resource(), worker.connections)
+            await self._listen_site(site, port)
             self.workers[worker.name] = standin
 
     async def _start_daemon(self, region: str, data_centre: str) -> None:
