--- a/packages/daemon/src/sycamorenotch_daemon/_call_events.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_call_events.py
@@ -77,3 +77,13 @@
     decision: str
     signature: str
     worker: str
+
+
+@event(2340, "health.report-missing", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class HealthReportMissing(Event):
+    """A worker gave no valid report; its last one loses weight with age."""
+
+    worker: str
+    reason: str
--- a/packages/daemon/src/sycamorenotch_daemon/_dispatch.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_dispatch.py
@@ -11,7 +11,6 @@
 
 from sycamorenotch_daemon._node import Node
 from sycamorenotch_daemon._upstream_client import AttemptResult
-from sycamorenotch_daemon._upstream_client import UpstreamClient
 from sycamorenotch_daemon._upstreams import Upstreams
 from sycamorenotch_kernel import Call
 from sycamorenotch_kernel import CallResult
@@ -39,7 +38,6 @@
     def __init__(self, node: Node) -> None:
         self._node = node
         self._upstreams = node.require(Upstreams)
-        self._client = UpstreamClient(node.reactor, self._upstreams.budget)
 
     async def run(self, call: Call, proceed: Proceed) -> CallResult:
         """Send the call and wait for the whole answer."""
@@ -69,7 +67,7 @@
         # The outcome stays the worst one if an exception leaves the client.
         outcome = Outcome.FAILED
         try:
-            result = await self._client.send(call, worker, remaining)
+            result = await self._upstreams.client.send(call, worker, remaining)
             outcome = Outcome.ANSWERED if result.is_ok() else result.error.outcome
         finally:
             now = self._node.clock.monotonic()
--- a/packages/daemon/src/sycamorenotch_daemon/_upstream_client.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_upstream_client.py
@@ -49,6 +49,7 @@
 # Shorter than the idle limit of usual servers, so that a request is rarely
 # sent on a connection that its worker is about to close.
 IDLE_LIMIT_S = 20
+SHED_RETRY_AFTER = timedelta(seconds=1)
 
 UNSENT_ERRORS = (ConnectError, ConnectionRefusedByBudgetError, RequestNotSent)
 
@@ -151,7 +152,7 @@
         pool.cachedConnectionTimeout = IDLE_LIMIT_S
         self._pool = pool
         endpoints = BudgetedEndpoints(reactor, budget_for)
-        self._agent = Agent.usingEndpointFactory(reactor, endpoints, pool)
+        self.agent = Agent.usingEndpointFactory(reactor, endpoints, pool)
 
     def close(self) -> Deferred[None]:
         """Close the idle connections."""
@@ -166,7 +167,7 @@
         :param remaining: time until the deadline of the call.
         """
         exchange = _Exchange(call, worker)
-        waiting = Deferred.fromCoroutine(exchange.run(self._agent, remaining))
+        waiting = Deferred.fromCoroutine(exchange.run(self.agent, remaining))
         timer = self._reactor.callLater(remaining.total_seconds(), exchange.expire)
         exchange.cancel = waiting.cancel
         try:
@@ -222,7 +223,7 @@
             return self._failed(Failure(ErrorKind.UPSTREAM_FAILED, detail))
         if response.headers.getRawHeaders(NOT_RUN_HEADER) == [b"no"]:
             detail = f"{self._worker.name} shed the request"
-            failure = Failure(ErrorKind.UPSTREAM_SHED, detail, Ran.NO)
+            failure = Failure(ErrorKind.UPSTREAM_SHED, detail, Ran.NO, SHED_RETRY_AFTER)
             return Error(AttemptFailure(failure, Outcome.SHED))
         return Ok(CallAnswer(response.code, end_to_end(headers), content))
 
--- a/packages/daemon/src/sycamorenotch_daemon/_upstreams.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_upstreams.py
@@ -13,6 +13,7 @@
 from sycamorenotch_daemon._instances import InstanceView
 from sycamorenotch_daemon._node import InForce
 from sycamorenotch_daemon._node import Node
+from sycamorenotch_daemon._upstream_client import UpstreamClient
 from sycamorenotch_kernel import Drains
 from sycamorenotch_kernel import Environment
 from sycamorenotch_kernel import InstanceState
@@ -41,6 +42,8 @@
         self._budgets: dict[str, ConnectionBudget] = {}
         self._workers: Mapping[str, Worker] = {}
         self._leaving: set[str] = set()
+        self._regions: dict[str, tuple[str, ...]] = {}
+        self.client = UpstreamClient(node.reactor, self.budget)
         self._recount = LoopingCall(self._resize)
         self._recount.clock = node.reactor
         node.provide(Upstreams, self)
@@ -51,15 +54,25 @@
         self._recount.start(RECOUNT_INTERVAL_S)
 
     async def stop(self) -> None:
-        """Stop following the number of instances."""
+        """Stop following the number of instances and close idle connections."""
         if self._recount.running:
             self._recount.stop()
+        await self.client.close()
 
     @property
     def workers(self) -> Mapping[str, Worker]:
         """Every worker of the configuration in force, by name."""
         return self._workers
 
+    def nearby(self) -> tuple[Worker, ...]:
+        """Return the workers that this instance sends requests to."""
+        home = self._node.settings.region
+        return tuple(
+            worker
+            for worker in self._workers.values()
+            if worker.region in self._regions.get(worker.service, (home,))
+        )
+
     def choice(self, service: str) -> UpstreamChoice | None:
         """Return the choice of a service of the configuration in force."""
         return self._choices.get(service)
@@ -73,6 +86,7 @@
         choice = self._choices.get(service)
         if choice is not None:
             choice.set_regions(weights)
+            self._regions[service] = tuple(weights)
 
     def report_leaving(self, worker: str, leaving: bool) -> None:
         """Take in whether a worker says that it is leaving."""
--- a/packages/policies/src/sycamorenotch_policies/_choice.py
+++ b/packages/policies/src/sycamorenotch_policies/_choice.py
@@ -20,6 +20,7 @@
 
 DRAWS = 2
 MAXIMUM_DRAWS = 8
+MAXIMUM_SCAN = 64
 
 NOTHING_TRIED: frozenset[str] = frozenset()
 
@@ -142,8 +143,10 @@
         region = self._region()
         usable = self.table.usable(region)
         drawn = self._draw(usable, now, tried)
-        if not drawn:
-            drawn = [s for s in usable if _fits(s, now, tried)]
+        if len(drawn) < DRAWS:
+            drawn += self._scan(usable, now, tried)
+        free = [s for s in drawn if s.in_flight < s.worker.slots]
+        drawn = free or drawn
         best = min(drawn, key=lambda state: state.score(now), default=None)
         names = " and ".join(sorted(state.worker.name for state in drawn[:DRAWS]))
         reason = f"The best of {names} in region {region} was chosen."
@@ -152,16 +155,26 @@
     def _draw(
         self, usable: list[WorkerState], now: timedelta, tried: frozenset[str]
     ) -> list[WorkerState]:
-        """Draw up to two workers with room, in a bounded number of draws."""
+        """Draw up to two workers with free slots, in a bounded number of draws."""
         drawn: list[WorkerState] = []
         for _ in range(MAXIMUM_DRAWS if usable else 0):
             state = usable[int(self._random.random() * len(usable))]
-            if state not in drawn and _fits(state, now, tried):
+            free = state.in_flight < state.worker.slots
+            if free and state not in drawn and _fits(state, now, tried):
                 drawn.append(state)
             if len(drawn) == min(DRAWS, len(usable)):
                 break
         return drawn
 
+    def _scan(
+        self, usable: list[WorkerState], now: timedelta, tried: frozenset[str]
+    ) -> list[WorkerState]:
+        """Return the workers with room in a bounded part of the list."""
+        length = min(len(usable), MAXIMUM_SCAN)
+        start = int(self._random.random() * len(usable))
+        part = (usable[(start + step) % len(usable)] for step in range(length))
+        return [state for state in part if _fits(state, now, tried)]
+
 
 @upstream_choices.register("round-robin")
 @final
