--- a/packages/workbench/src/sycamorenotch_workbench/_example.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_example.py
@@ -29,6 +29,7 @@
 EXAMPLES = Path(__file__).parents[4] / "examples"
 ENVIRONMENT = "production"
 LOOPBACK = "127.0.0.1"
+TOKEN_MODE = 0o600
 ADDRESS = re.compile(r"10\.\d+\.\d+\.\d+:\d+")
 
 SETTINGS = """\
@@ -60,16 +61,21 @@
     :param reactor: the one loop of the process.
     :param document: name of a document under ``examples/``.
     :param instances: number of entry instances.
+    :param state: directory for the operators' token; a temporary one if absent.
     """
 
     def __init__(
-        self, reactor: Any, document: str = "vatukoula", instances: int = 2
+        self,
+        reactor: Any,
+        document: str = "vatukoula",
+        instances: int = 2,
+        state: Path | None = None,
     ) -> None:
         self._reactor = reactor
         self._ports: list[IListeningPort] = []
         self._directory = TemporaryDirectory()
         self._count = instances
-        self.token_file = Path(self._directory.name) / "operator.token"
+        self.token_file = (state or Path(self._directory.name)) / "operator.token"
         self.token = secrets.token_urlsafe()
         self.text = _with_free_ports((EXAMPLES / f"{document}.ini").read_text())
         self.environment: Environment = parse_environment(self.text)
@@ -81,6 +87,7 @@
 
     async def start(self) -> None:
         """Start the stand-ins, store the document and start the instances."""
+        self.token_file.touch(TOKEN_MODE)
         self.token_file.write_text(self.token)
         await self._start_store()
         await self._start_workers()
--- a/packages/workbench/src/sycamorenotch_workbench/run.py
+++ b/packages/workbench/src/sycamorenotch_workbench/run.py
@@ -3,16 +3,31 @@
 from __future__ import annotations
 
 import json
+import sys
+from pathlib import Path
 
+from eliot import to_file
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
 from sycamorenotch_workbench._example import LocalExample
 
+# The README names this directory, so that operators' commands find the token.
+STATE = Path("build/local")
+EXIT_START = 3
+
 
 def main() -> None:
     """Start the example and print where it listens."""
-    example = LocalExample(reactor)
+    STATE.mkdir(parents=True, exist_ok=True)
+    with (STATE / "events.log").open("w") as log:
+        to_file(log)
+        sys.exit(_serve(LocalExample(reactor, state=STATE)))
+
+
+def _serve(example: LocalExample) -> int:
+    status = 0
 
     async def start() -> None:
         await example.start()
@@ -21,13 +36,17 @@
     def stop() -> Deferred[None]:
         return Deferred.fromCoroutine(example.stop())
 
-    def failed(failure: object) -> None:
-        print(failure, flush=True)
+    def failed(failure: Failure) -> None:
+        nonlocal status
+        status = EXIT_START
+        print(failure.getErrorMessage(), file=sys.stderr)
         reactor.stop()
 
     reactor.callWhenRunning(lambda: Deferred.fromCoroutine(start()).addErrback(failed))
+    # The reactor turns SIGINT and SIGTERM into this trigger.
     reactor.addSystemEventTrigger("before", "shutdown", stop)
     reactor.run()
+    return status
 
 
 if __name__ == "__main__":
