--- a/packages/policies/src/sycamorenotch_policies/_steering_moves.py
+++ b/packages/policies/src/sycamorenotch_policies/_steering_moves.py
@@ -24,7 +24,7 @@
 from sycamorenotch_policies._steering_occupancy import Shares
 
 # Part of the cap that is planned for; demand may change before the next plan.
-CAP_MARGIN = 0.9
+CAP_MARGIN = 0.8
 # Smallest move worth a plan, as a share of a service's traffic.
 SMALLEST_SHIFT = 0.002
 
