Break ties between equally near regions alike in look-ups and grants

Cause: look-ups took the first of two equally near regions in the order of the document, grants the first by name, so that callers of a lost region came to instances without grants. Change: both order by latency, then by name.

--- a/packages/policies/src/sycamorenotch_policies/_lookup.py
+++ b/packages/policies/src/sycamorenotch_policies/_lookup.py
@@ -127,7 +127,7 @@
 
     def _decide(self, service: str, source: int, bucket: int) -> LookupAnswer:
         region = self._regions[source]
-        near = sorted(self._regions, key=lambda other: self._distance(region, other))
+        near = sorted(self._regions, key=lambda r: (self._distance(region, r), r))
         usable = [name for name in near if self._live.get(name)]
         chosen = self._serving(service, region, bucket)
         serving = chosen if chosen in usable else next(iter(usable), region)
