Deal the slots of each worker to instances

Cause: an instance does not see what others send to a worker; in a flood some workers queued while slots of others idled. Change: worker_quotas deals a region's slots in one order that each instance works out alike; the worker table bounds requests in flight by it. Links are planned up to 60% of the budget.

--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -75,6 +75,7 @@
 from sycamorenotch_policies._quarantine import Signature
 from sycamorenotch_policies._quarantine import Strike
 from sycamorenotch_policies._quarantine import sign_request
+from sycamorenotch_policies._quotas import worker_quotas
 from sycamorenotch_policies._retry import BudgetedRetry
 from sycamorenotch_policies._retry import FailedAttempt
 from sycamorenotch_policies._retry import GiveUp
@@ -186,4 +187,5 @@
     "make_plan",
     "regrant",
     "sign_request",
+    "worker_quotas",
 ]
--- a/packages/policies/src/sycamorenotch_policies/_steering_occupancy.py
+++ b/packages/policies/src/sycamorenotch_policies/_steering_occupancy.py
@@ -15,6 +15,8 @@
 # Use of a region or link that steering plans for; the rest takes the swings
 # of demand between two plans.
 USE_LIMIT = 0.85
+# Answers are large for a link and come unevenly, so that more is kept free.
+LINK_LIMIT = 0.6
 # Work of a request whose data the target's caches do not hold yet.
 COLD_COST = 2.0
 BITS_PER_BYTE = 8
@@ -118,7 +120,7 @@
         link = self._environment.links.get((region, key.source))
         if link is None:
             return 0.0
-        free = link.budget * USE_LIMIT - self._links[region, key.source]
+        free = link.budget * LINK_LIMIT - self._links[region, key.source]
         return max(0.0, free / self._answer_bits(key))
 
     def _protected(self, region: str, service: str, rank: Rank, by: Rank) -> float:
--- a/packages/policies/src/sycamorenotch_policies/_worker_state.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_state.py
@@ -56,6 +56,7 @@
     ) -> None:
         self.worker = worker
         self.connections = connections
+        self.quota: int | None = None
         self.in_flight = 0
         self.leaving_since: timedelta | None = None
         self.ejected_until: timedelta | None = None
@@ -83,7 +84,10 @@
             return self.in_flight == 0
         warm = max(1.0, self.worker.slots * self._ramp(now))
         bound = self.connections if self.cold_since is None else warm
-        return self.in_flight < min(bound, self.connections)
+        bound = min(bound, self.connections)
+        return self.in_flight < (
+            bound if self.quota is None else min(bound, self.quota)
+        )
 
     def score(self, now: timedelta) -> float:
         """Return the expected cost of one more request; lower is better."""
--- a/packages/policies/src/sycamorenotch_policies/_worker_table.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_table.py
@@ -109,6 +109,15 @@
         for state in self.states.values():
             state.connections = self._connections(state.worker)
 
+    def set_quotas(self, region: str, quotas: Mapping[str, int]) -> None:
+        """Bound the requests in flight on each worker of a region.
+
+        A worker without a quota may still run one request, so that a worker
+        that comes back is found before the next plan.
+        """
+        for state in self.usable(region):
+            state.quota = max(1, quotas.get(state.worker.name, 0))
+
     def regions(self) -> Mapping[str, int]:
         """Return the number of usable workers in each region."""
         return {region: len(usable.items) for region, usable in self._usable.items()}
--- a/packages/workbench/src/sycamorenotch_workbench/_bench_entry.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_bench_entry.py
@@ -30,6 +30,7 @@
 from sycamorenotch_policies import Refused
 from sycamorenotch_policies import Retry
 from sycamorenotch_policies import Ticket
+from sycamorenotch_policies import worker_quotas
 from sycamorenotch_workbench._bench_fleet import FakeFleet
 from sycamorenotch_workbench._bench_fleet import Job
 from sycamorenotch_workbench._bench_results import End
@@ -103,6 +104,13 @@
         self.holding.accept(plan)
         self.holding.confirm(plan.sequence, self._fleet.time.monotonic())
         self._routes = {(r.service, r.source, r.rank): r for r in plan.routes}
+        for service, choice in self._choices.items():
+            for region in self._fleet.environment.regions:
+                workers = [state.worker for state in choice.table.usable(region)]
+                pool = (region, service)
+                grants = [g for g in plan.grants if (g.region, g.service) == pool]
+                quotas = worker_quotas(grants, workers, self.listed.id)
+                choice.table.set_quotas(region, quotas)
 
     def tick(self) -> None:
         """Follow the grants and refuse what waited too long."""
