--- a/packages/daemon/src/sycamorenotch_daemon/_callers.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_callers.py
@@ -42,7 +42,7 @@
 class CallersFrontEnd:
     """Serves callers over HTTP."""
 
-    after: ClassVar[tuple[str, ...]] = ("calls", "instances", "metrics")
+    after: ClassVar[tuple[str, ...]] = ("calls", "instances", "metrics", "plan")
     app = Klein()
 
     def __init__(self, node: Node) -> None:
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -20,6 +20,7 @@
 from sycamorenotch_policies._choice import RoundRobin
 from sycamorenotch_policies._choice import TwoChoices
 from sycamorenotch_policies._choice import UpstreamChoice
+from sycamorenotch_policies._claim_collection import ClaimExpiry
 from sycamorenotch_policies._claim_messages import ClaimCommand
 from sycamorenotch_policies._claim_messages import ClaimConflict
 from sycamorenotch_policies._claim_messages import ClaimFound
@@ -113,6 +114,7 @@
     "Claim",
     "ClaimCommand",
     "ClaimConflict",
+    "ClaimExpiry",
     "ClaimFound",
     "ClaimInput",
     "ClaimMissing",
