Bound the size and the time of a request

Cause: oversized headers gave a bare 400, a body of any size went to a file on disk, a slow sender was served for ever, and a malformed form was refused unread by the library.

--- a/packages/daemon/src/sycamorenotch_daemon/_problems.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_problems.py
@@ -4,10 +4,23 @@
 
 import json
 import math
+from http import HTTPStatus
 
 from twisted.web.http import Request
 
+from sycamorenotch_kernel import ErrorKind
 from sycamorenotch_kernel import Failure
+from sycamorenotch_transport import WireAnswer
+from sycamorenotch_transport import WireProblem
+
+PROBLEM_TYPE = "application/problem+json"
+
+WIRE_KINDS = {
+    WireProblem.MALFORMED: ErrorKind.BAD_REQUEST,
+    WireProblem.HEADERS_TOO_LARGE: ErrorKind.HEADERS_TOO_LARGE,
+    WireProblem.BODY_TOO_LARGE: ErrorKind.BODY_TOO_LARGE,
+    WireProblem.SLOW_SENDER: ErrorKind.SLOW_SENDER,
+}
 
 
 def write_problem(req: Request, failure: Failure, decision: str) -> bytes:
@@ -15,13 +28,25 @@
 
     :param decision: identifier of the decision that led to the error.
     """
-    answer = failure.answer
-    req.setResponseCode(answer.status)
-    req.setHeader("Content-Type", "application/problem+json")
+    req.setResponseCode(failure.answer.status)
+    req.setHeader("Content-Type", PROBLEM_TYPE)
     req.setHeader("Decision-Id", decision)
     if failure.retry_after is not None:
         seconds = max(1, math.ceil(failure.retry_after.total_seconds()))
         req.setHeader("Retry-After", str(seconds))
+    return _encode(failure, decision)
+
+
+def wire_problem(problem: WireProblem, decision: str) -> WireAnswer:
+    """Return the answer to a request that was not read to its end."""
+    failure = Failure(WIRE_KINDS[problem], problem.value)
+    phrase = HTTPStatus(failure.answer.status).phrase
+    status = f"{failure.answer.status} {phrase}"
+    return WireAnswer(status, PROBLEM_TYPE, _encode(failure, decision))
+
+
+def _encode(failure: Failure, decision: str) -> bytes:
+    answer = failure.answer
     body = {
         "type": "about:blank",
         "title": answer.title,
