Serve during a stop until look-up answers have run out

Cause: a stop closed the listener at once, while callers still used the answers that named the instance. Change: the callers' front end serves for the lifetime of an answer, then finishes what is in flight within the drain bound and checks I8.

--- a/packages/daemon/src/sycamorenotch_daemon/_callers.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_callers.py
@@ -11,6 +11,7 @@
 from expression import Ok
 from expression import Result
 from klein import Klein
+from twisted.internet.task import deferLater
 from twisted.web.http import Request
 from twisted.web.server import NOT_DONE_YET
 
@@ -20,12 +21,14 @@
 from sycamorenotch_daemon._lookups import Lookups
 from sycamorenotch_daemon._metrics import MetricsPage
 from sycamorenotch_daemon._node import Node
+from sycamorenotch_daemon._problems import wire_problem
 from sycamorenotch_daemon._problems import write_problem
 from sycamorenotch_kernel import Call
 from sycamorenotch_kernel import CallAnswer
 from sycamorenotch_kernel import DecisionId
 from sycamorenotch_kernel import ErrorKind
 from sycamorenotch_kernel import Failure
+from sycamorenotch_kernel import Invariant
 from sycamorenotch_kernel import Route
 from sycamorenotch_kernel import components
 from sycamorenotch_kernel import front_ends
@@ -33,6 +36,8 @@
 
 MAXIMUM_TIMEOUT = timedelta(hours=1)
 IDEMPOTENCY_KEY = re.compile(r"[A-Za-z0-9._~:-]{1,128}")
+# A reactor may run a delayed call slightly before its time by another clock.
+CLOCK_TOLERANCE = timedelta(milliseconds=50)
 TIMEOUT_SECONDS = re.compile(r"[0-9]{1,6}(?:\.[0-9]{1,6})?")
 
 
@@ -52,7 +57,10 @@
         self._lookups = Lookups(node)
         settings = node.settings
         self._listener = HttpListener(
-            node.reactor, settings.callers_endpoint, settings.callers
+            node.reactor,
+            settings.callers_endpoint,
+            settings.callers,
+            lambda problem: wire_problem(problem, node.ids.decision()),
         )
 
     async def start(self) -> None:
@@ -60,10 +68,23 @@
         await self._listener.start(self.app.resource())
 
     async def stop(self) -> None:
-        """Finish the requests in flight and close the listener."""
+        """Serve until look-up answers have run out, then finish and close."""
         current = self._node.configuration.current
-        bound = timedelta() if current is None else current.environment.bounds.drain
-        await self._listener.stop(bound)
+        if current is None:
+            await self._listener.stop(timedelta())
+            return
+        bounds = current.environment.bounds
+        started = self._node.clock.monotonic()
+        if self._node.linger:
+            # Callers may use this instance as long as they cache an answer.
+            linger = min(bounds.answer_lifetime, bounds.drain)
+            await deferLater(self._node.reactor, linger.total_seconds())
+        elapsed = self._node.clock.monotonic() - started
+        unfinished = await self._listener.stop(bounds.drain - elapsed)
+        elapsed = self._node.clock.monotonic() - started
+        kept = unfinished == 0 or elapsed >= bounds.drain - CLOCK_TOLERANCE
+        detail = f"{unfinished} requests open after {elapsed.total_seconds():.3f} s"
+        self._node.invariants.holds(Invariant.I8, kept, detail)
 
     @app.route("/healthz", methods=["GET"])
     def _health(self, req: Request) -> bytes:
@@ -102,6 +123,8 @@
             return write_problem(req, failure, decision)
         if req.finished or req._disconnected:
             return NOT_DONE_YET
+        if self._node.stopping:
+            req.setHeader("Connection", "close")
         if result.is_error():
             return write_problem(req, result.error, decision)
         return _write_answer(req, result.ok, decision)
@@ -156,8 +179,13 @@
     return tuple((n, v) for n, v in end_to_end(pairs) if n.lower() not in own)
 
 
+def _raw_values(req: Request, name: bytes) -> list[str]:
+    raw = req.requestHeaders.getRawHeaders(name, [])
+    return [value.decode("latin-1") for value in raw]
+
+
 def _idempotency_key(req: Request, route: Route) -> Result[str | None, Failure]:
-    values = req.requestHeaders.getRawHeaders("Idempotency-Key") or []
+    values = _raw_values(req, b"Idempotency-Key")
     if not values and route.idempotent:
         return Ok(None)
     if len(values) != 1 or IDEMPOTENCY_KEY.fullmatch(values[0]) is None:
@@ -168,7 +196,7 @@
 
 
 def _timeout(req: Request, default: timedelta) -> Result[timedelta, Failure]:
-    values = req.requestHeaders.getRawHeaders("Request-Timeout") or []
+    values = _raw_values(req, b"Request-Timeout")
     if not values:
         return Ok(default)
     well_formed = len(values) == 1 and TIMEOUT_SECONDS.fullmatch(values[0])
--- a/packages/daemon/src/sycamorenotch_daemon/_daemon.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_daemon.py
@@ -35,10 +35,15 @@
             DaemonStarted(settings.instance, settings.callers, settings.operators)
         )
 
-    async def stop(self) -> None:
-        """Leave the look-up answers, finish what is in flight, and stop."""
+    async def stop(self, *, linger: bool = True) -> None:
+        """Leave the look-up answers, finish what is in flight, and stop.
+
+        :param linger: whether to serve until earlier look-up answers have run
+            out; without callers there is nobody to wait for.
+        """
         if self.node.stopping:
             return
+        self.node.linger = linger
         self.node.stopping = True
         self.node.sink.emit(DaemonStopping(self.node.settings.instance))
         for component in reversed(self._components):
--- a/packages/daemon/src/sycamorenotch_daemon/_node.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_node.py
@@ -121,6 +121,7 @@
 
     :param reactor: the one loop of the process.
     :param token: bearer token of the operators' listener.
+    :param linger: whether a stop waits until earlier look-up answers have run out.
     """
 
     settings: DaemonSettings
@@ -135,6 +136,7 @@
     token: str
     peer_key: bytes = b""
     stopping: bool = False
+    linger: bool = True
     ids: IdentifierSource = field(init=False)
     configuration: ConfigurationInForce = field(init=False)
     _provided: dict[type, object] = field(default_factory=dict)
--- a/packages/daemon/src/sycamorenotch_daemon/_upstream_client.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_upstream_client.py
@@ -23,6 +23,7 @@
 from twisted.web.client import Agent
 from twisted.web.client import HTTPConnectionPool
 from twisted.web.client import RequestNotSent
+from twisted.web.client import RequestTransmissionFailed
 from twisted.web.client import ResponseDone
 from twisted.web.client import ResponseNeverReceived
 from twisted.web.http_headers import Headers as HttpHeaders
@@ -51,6 +52,7 @@
 IDLE_LIMIT_S = 20
 SHED_RETRY_AFTER = timedelta(seconds=1)
 
+LOST_ERRORS = (RequestTransmissionFailed, ResponseNeverReceived)
 UNSENT_ERRORS = (ConnectError, ConnectionRefusedByBudgetError, RequestNotSent)
 
 
@@ -205,6 +207,8 @@
             receiver = _BodyReceiver()
             response.deliverBody(receiver)
             content = await receiver.done
+        except ValueError as exc:
+            return self._malformed(exc)
         except UNSENT_ERRORS as exc:
             return self._unsent(exc)
         except ConnectingCancelledError:
@@ -227,6 +231,10 @@
             return Error(AttemptFailure(failure, Outcome.SHED))
         return Ok(CallAnswer(response.code, end_to_end(headers), content))
 
+    def _malformed(self, exc: ValueError) -> AttemptResult:
+        failure = Failure(ErrorKind.BAD_REQUEST, str(exc), Ran.NO)
+        return Error(AttemptFailure(failure, Outcome.CANCELLED))
+
     def _unsent(self, exc: Exception) -> AttemptResult:
         detail = f"no connection to {self._worker.name}: {exc}"
         return self._failed(Failure(ErrorKind.UPSTREAM_FAILED, detail, Ran.NO))
@@ -244,7 +252,7 @@
             return self._stopped(Ran.UNKNOWN)
         detail = f"{self._worker.name} failed: {type(exc).__name__}"
         failure = Failure(ErrorKind.UPSTREAM_FAILED, detail, Ran.UNKNOWN)
-        lost = not self._answering
+        lost = isinstance(exc, LOST_ERRORS) and not self._answering
         return Error(AttemptFailure(failure, Outcome.FAILED, worker_lost=lost))
 
     def _failed(self, failure: Failure) -> AttemptResult:
--- a/packages/workbench/src/sycamorenotch_workbench/_example.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_example.py
@@ -98,7 +98,7 @@
     async def stop(self) -> None:
         """Stop the instances, then the stand-ins."""
         for daemon in self.daemons:
-            await daemon.stop()
+            await daemon.stop(linger=False)
         for port in self._ports:
             await port.stopListening()
         self._directory.cleanup()
