--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SEED ?= 1
 STEPS ?= 2000
 
-.PHONY: setup run test demo bench soak slopes golden format lint types unit
+.PHONY: setup run test demo bench soak slopes golden docs format lint types unit
 
 setup: $(STAMP)
 
@@ -35,6 +35,9 @@
 slopes: $(STAMP)
 	@$(BIN)/python -m sycamorenotch_workbench.slopes
 
+docs: $(STAMP)
+	@$(BIN)/python -m sycamorenotch_workbench.catalogue
+
 golden: $(STAMP)
 	@$(BIN)/python -m sycamorenotch_workbench.golden
 
--- a/packages/cli/src/sycamorenotch_cli/_documents.py
+++ b/packages/cli/src/sycamorenotch_cli/_documents.py
@@ -77,7 +77,7 @@
 @command(
     "show",
     "ENVIRONMENT",
-    "Show the newest document of an environment and who wrote it.",
+    "Show the newest document of an environment; the JSON form says who wrote it.",
     "sycamorenotch show production",
 )
 async def show(invocation: Invocation) -> Outcome:
@@ -86,11 +86,9 @@
     found = await _document(invocation.connect(), name)
     if found.is_error():
         return refused(found.error)
-    document = found.ok
-    author = document.author or "unknown"
-    head = f"# {name}, generation {document.generation}, written by {author}"
-    data = document.model_dump(mode="json")
-    return Outcome(ExitCode.OK, f"{head}\n{document.text}", data)
+    # The text alone, so that it can be written to a file and applied again.
+    text = found.ok.text.rstrip("\n")
+    return Outcome(ExitCode.OK, text, found.ok.model_dump(mode="json"))
 
 
 @command(
--- a/packages/workbench/src/sycamorenotch_workbench/run.py
+++ b/packages/workbench/src/sycamorenotch_workbench/run.py
@@ -13,8 +13,9 @@
 
 from sycamorenotch_workbench._example import LocalExample
 
-# The README names this directory, so that operators' commands find the token.
+# The README names these, so that operators' commands find the token.
 STATE = Path("build/local")
+FLAGS = STATE / "flags"
 EXIT_START = 3
 
 
@@ -31,6 +32,10 @@
 
     async def start() -> None:
         await example.start()
+        FLAGS.write_text(
+            f"--operators={example.describe()['operators'][0]}\n"
+            f"--token_file={example.token_file}\n"
+        )
         print(json.dumps(example.describe()), flush=True)
 
     def stop() -> Deferred[None]:
