Distribute configurations and membership between peers

Cause: every daemon watched the store and polled the list for itself, so that store calls grew with the fleet, and a daemon started while the store was down had no configuration. Change: two watchers for each data centre by rendezvous hashing watch and poll, and push differences to their peers; heartbeats to a fixed number of peers carry generation, digest and a bounded digest of rumours; suspicion and refutation by incarnation; readiness waits for peers when the store is down. Conclusion: of 24 daemons on loopback 12 watch and the others make no store call for a change; a change arrives with all pushes dropped, with two watchers dead, and at a daemon replaced during an outage (testing/daemon/test_control_fleet.py).

--- a/packages/daemon/src/sycamorenotch_daemon/_callers.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_callers.py
@@ -16,6 +16,7 @@
 from twisted.web.server import NOT_DONE_YET
 
 from sycamorenotch_daemon._calls import CallPath
+from sycamorenotch_daemon._configuration import Readiness
 from sycamorenotch_daemon._events import FrontEndFailed
 from sycamorenotch_daemon._headers import end_to_end
 from sycamorenotch_daemon._lookups import Lookups
@@ -92,7 +93,9 @@
 
     @app.route("/readyz", methods=["GET"])
     def _ready(self, req: Request) -> bytes:
-        if self._node.configuration.current is None or self._node.stopping:
+        readiness = self._node.find(Readiness)  # type: ignore[type-abstract]
+        confirmed = readiness is None or readiness.is_ready()
+        if not confirmed or self._node.stopping:
             req.setResponseCode(503)
             return b"not ready\n"
         return b"ready\n"
--- a/packages/daemon/src/sycamorenotch_daemon/_configuration.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_configuration.py
@@ -2,99 +2,209 @@
 
 from __future__ import annotations
 
-import hashlib
 from datetime import timedelta
 from typing import ClassVar
+from typing import Protocol
 from typing import final
 
 from twisted.internet.defer import CancelledError
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from sycamorenotch_daemon._configuration_events import ConfigurationContradicted
+from sycamorenotch_daemon._configuration_events import ConfigurationPushDamaged
+from sycamorenotch_daemon._configuration_events import StoreBehind
 from sycamorenotch_daemon._document_codec import InvalidEnvelopeError
 from sycamorenotch_daemon._document_codec import decode_document
 from sycamorenotch_daemon._events import ConfigurationInvalid
 from sycamorenotch_daemon._events import ConfigurationUnavailable
+from sycamorenotch_daemon._membership import FleetMembership
 from sycamorenotch_daemon._node import InForce
 from sycamorenotch_daemon._node import Node
+from sycamorenotch_daemon._peer_greeting import PeerIdentity
+from sycamorenotch_daemon._peer_mesh import PeerMesh
 from sycamorenotch_documents import InvalidFileError
 from sycamorenotch_documents import parse_environment
+from sycamorenotch_kernel import ConfigurationPush
+from sycamorenotch_kernel import ConfigurationRequest
+from sycamorenotch_kernel import Heartbeat
 from sycamorenotch_kernel import StoredObject
 from sycamorenotch_kernel import StoreError
 from sycamorenotch_kernel import StoreFault
 from sycamorenotch_kernel import Version
 from sycamorenotch_kernel import components
+from sycamorenotch_policies import ConfigurationHistory
+from sycamorenotch_policies import ConfigurationText
+from sycamorenotch_policies import Confirmation
 
 ENVIRONMENT_KIND = "environments"
 READ_TIMEOUT = timedelta(seconds=2)
 WATCH_TIMEOUT = timedelta(seconds=30)
 RETRY_DELAY = timedelta(seconds=1)
+ROLE_CHECK = timedelta(milliseconds=500)
+REQUEST_INTERVAL = timedelta(milliseconds=300)
+
+
+class Readiness(Protocol):
+    """Whether the daemon may tell callers that it is ready."""
+
+    def is_ready(self) -> bool:
+        """Return whether a configuration is in force that no peer contradicts."""
+        ...
 
 
 @components.register("configuration")
 @final
 class ConfigurationWatch:
-    """Reads the document from the store and watches for newer ones."""
+    """Takes newer documents from the store or from peers and passes them on."""
 
-    after: ClassVar[tuple[str, ...]] = ()
+    after: ClassVar[tuple[str, ...]] = ("membership",)
 
     def __init__(self, node: Node) -> None:
         self._node = node
+        self._mesh = node.require(PeerMesh)
+        self._fleet = node.require(FleetMembership)
+        self._history = ConfigurationHistory()
+        self._confirmation = Confirmation()
+        self._requested_at = -REQUEST_INTERVAL
+        self._stopped = False
         self._loop: Deferred[None] | None = None
+        self._mesh.handle(Heartbeat, self._on_heartbeat)
+        self._mesh.handle(ConfigurationRequest, self._on_request)
+        self._mesh.handle(ConfigurationPush, self._on_push)
+        node.provide(Readiness, self)  # type: ignore[type-abstract]
 
     async def start(self) -> None:
         """Read the document once and start to watch."""
-        name = self._node.settings.environment
-        found = await self._node.store.get(ENVIRONMENT_KIND, name, READ_TIMEOUT)
-        if found.is_ok():
-            accept_document(self._node, found.ok)
-        elif found.error.fault is not StoreFault.NOT_FOUND:
-            self._report(found.error)
+        await self._read()
         self._loop = Deferred.fromCoroutine(self._watch())
         self._loop.addErrback(lambda failure: failure.trap(CancelledError) and None)
 
     async def stop(self) -> None:
         """Stop watching."""
+        self._stopped = True
         if self._loop is not None:
             self._loop.cancel()
 
+    def is_ready(self) -> bool:
+        """Return whether a configuration is in force that no peer contradicts."""
+        generation = self._node.configuration.generation
+        return self._confirmation.judge(generation, len(self._mesh.connected()))
+
+    async def _read(self) -> None:
+        name = self._node.settings.environment
+        found = await self._node.store.get(ENVIRONMENT_KIND, name, READ_TIMEOUT)
+        if found.is_ok():
+            self._take_stored(found.ok)
+        elif found.error.fault is not StoreFault.NOT_FOUND:
+            self._report(found.error)
+
     async def _watch(self) -> None:
         after = Version(self._node.configuration.generation)
-        while True:
+        while not self._stopped:
+            if not self._fleet.is_watcher():
+                await self._pause(ROLE_CHECK)
+                continue
             changes = await self._node.store.watch(
                 ENVIRONMENT_KIND, after, WATCH_TIMEOUT
             )
             if changes.is_error():
                 self._report(changes.error)
-                await deferLater(self._node.reactor, RETRY_DELAY.total_seconds())
+                await self._pause(RETRY_DELAY)
                 continue
             after = changes.ok.version
             for stored in changes.ok.objects:
                 if stored.name == self._node.settings.environment:
-                    accept_document(self._node, stored)
+                    self._take_stored(stored)
+
+    async def _pause(self, delay: timedelta) -> None:
+        jitter = 0.5 + self._node.random.random()
+        await deferLater(self._node.reactor, delay.total_seconds() * jitter)
+
+    def _take_stored(self, stored: StoredObject) -> None:
+        in_force = self._node.configuration.generation
+        if stored.version < in_force:
+            self._node.sink.emit(StoreBehind(stored.version, in_force))
+            return
+        self._confirmation.store_gave()
+        self._put(ConfigurationText.of(stored.version, stored.value))
+
+    def _put(self, candidate: ConfigurationText) -> None:
+        if not accept_document(self._node, candidate):
+            return
+        self._history.add(candidate)
+        if self._fleet.is_watcher():
+            self._push_to_members(candidate.generation)
+
+    def _push_to_members(self, generation: int) -> None:
+        known = {m.instance: m.generation for m in self._fleet.members()}
+        centre = self._node.settings.data_centre
+        for peer in self._mesh.connected():
+            base = known.get(peer.instance, 0)
+            if peer.data_centre == centre and base < generation:
+                push = self._history.push_to(base)
+                if push is not None:
+                    self._mesh.send(peer.instance, push)
+
+    def _on_heartbeat(self, peer: PeerIdentity, message: Heartbeat) -> None:
+        self._confirmation.peer_stated(peer.instance, message.generation)
+        current = self._node.configuration.current
+        generation = self._node.configuration.generation
+        if message.generation > generation:
+            self._request(peer)
+        elif current is not None and message.generation == generation:
+            if not bytes.fromhex(current.digest).startswith(message.digest):
+                event = ConfigurationContradicted(peer.instance, generation)
+                self._node.sink.emit(event)
+
+    def _request(self, peer: PeerIdentity, *, whole: bool = False) -> None:
+        now = self._node.clock.monotonic()
+        if now - self._requested_at < REQUEST_INTERVAL and not whole:
+            return
+        generation = 0 if whole else self._node.configuration.generation
+        if self._mesh.send(peer.instance, ConfigurationRequest(generation)):
+            self._requested_at = now
+
+    def _on_request(self, peer: PeerIdentity, message: ConfigurationRequest) -> None:
+        push = self._history.push_to(message.generation)
+        if push is not None:
+            self._mesh.send(peer.instance, push)
+
+    def _on_push(self, peer: PeerIdentity, message: ConfigurationPush) -> None:
+        if message.generation <= self._node.configuration.generation:
+            return
+        text = self._history.text_of(message)
+        if text is not None:
+            self._put(text)
+        elif message.base:
+            self._request(peer, whole=True)
+        else:
+            event = ConfigurationPushDamaged(peer.instance, message.generation)
+            self._node.sink.emit(event)
 
     def _report(self, error: StoreError) -> None:
         self._node.sink.emit(ConfigurationUnavailable(error.fault.name, error.detail))
 
 
-def accept_document(node: Node, stored: StoredObject) -> bool:
-    """Validate a stored document and put it in force if it is newer.
+def accept_document(node: Node, candidate: ConfigurationText) -> bool:
+    """Validate a document and put it in force if it is newer.
 
     :return: whether the document is in force now.
     """
+    if candidate.generation <= node.configuration.generation:
+        return False
     try:
-        document = decode_document(stored.value)
+        document = decode_document(candidate.text)
         environment = parse_environment(document.text)
     except (InvalidFileError, InvalidEnvelopeError) as exc:
-        node.sink.emit(ConfigurationInvalid(stored.version, str(exc)))
+        node.sink.emit(ConfigurationInvalid(candidate.generation, str(exc)))
         return False
-    digest = hashlib.sha256(stored.value).hexdigest()
     return node.configuration.put(
         InForce(
             environment=environment,
-            generation=stored.version,
-            digest=digest,
-            text=stored.value.decode(),
+            generation=candidate.generation,
+            digest=candidate.digest.hex(),
+            text=candidate.text.decode(),
             drains=document.drains,
         )
     )
--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_membership.py
@@ -0,0 +1,213 @@
+"""Sends heartbeats to a few peers and keeps the view of the fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from datetime import timedelta
+from typing import ClassVar
+from typing import final
+
+from twisted.internet.task import LoopingCall
+
+from sycamorenotch_daemon._fleet import FleetView
+from sycamorenotch_daemon._membership_events import MemberChanged
+from sycamorenotch_daemon._node import InForce
+from sycamorenotch_daemon._node import Node
+from sycamorenotch_daemon._peer_greeting import PeerIdentity
+from sycamorenotch_daemon._peer_mesh import PeerMesh
+from sycamorenotch_kernel import Heartbeat
+from sycamorenotch_kernel import InstanceId
+from sycamorenotch_kernel import InstanceState
+from sycamorenotch_kernel import ListedInstance
+from sycamorenotch_kernel import MemberState
+from sycamorenotch_kernel import components
+from sycamorenotch_policies import FleetMember
+from sycamorenotch_policies import Membership
+from sycamorenotch_policies import PeerNews
+from sycamorenotch_policies import Transition
+from sycamorenotch_policies import neighbours
+from sycamorenotch_policies import successor
+from sycamorenotch_policies import watchers
+
+ROUND = timedelta(seconds=1)
+# The successor in the data centre is asked in each round, the contacts in
+# other places in every second one and the watchers in every tenth.
+CONTACT_ROUNDS = 2
+WATCHER_ROUNDS = 10
+CONTACTS = 2
+SHORT_DIGEST_BYTES = 8
+
+
+@components.register("membership")
+@final
+class FleetMembership:
+    """Membership of the fleet as this daemon sees it."""
+
+    after: ClassVar[tuple[str, ...]] = ("peers",)
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._mesh = node.require(PeerMesh)
+        self._me = InstanceId(node.settings.instance)
+        self._members = Membership(self._me, self._mesh.incarnation)
+        self._listed: dict[InstanceId, ListedInstance] = {}
+        self._round = 0
+        self._successor: InstanceId | None = None
+        self._contacts: tuple[InstanceId, ...] = ()
+        self._watchers: tuple[InstanceId, ...] = ()
+        self._loop = LoopingCall(self._on_round)
+        self._loop.clock = node.reactor
+        self._mesh.handle(Heartbeat, self._on_heartbeat)
+        node.provide(FleetMembership, self)
+        node.provide(FleetView, self)  # type: ignore[type-abstract]
+
+    async def start(self) -> None:
+        """Start the rounds of heartbeats."""
+        self._node.configuration.subscribe(self._on_configuration)
+        self._loop.start(ROUND.total_seconds(), now=False)
+
+    async def stop(self) -> None:
+        """Tell the peers that this instance leaves, then stop."""
+        if self._loop.running:
+            self._loop.stop()
+        for peer in self._mesh.connected():
+            self._mesh.send(peer.instance, self._heartbeat(answer=False))
+
+    def list_is(self, listed: Iterable[ListedInstance]) -> None:
+        """Merge the platform's list."""
+        self._listed = {entry.id: entry for entry in listed}
+        self._report(self._members.list_is(self._listed.values(), self._now()))
+        self._choose()
+
+    def usable(self, instance: InstanceId) -> bool:
+        """Return whether an instance may be given work or a role."""
+        return self._members.usable(instance)
+
+    def is_leaving(self, instance: InstanceId) -> bool:
+        """Return whether an instance announced its stop."""
+        return self._members.is_leaving(instance)
+
+    def watchers(self) -> tuple[InstanceId, ...]:
+        """Return the watchers of this daemon's data centre."""
+        return self._watchers
+
+    def is_watcher(self) -> bool:
+        """Return whether this daemon watches for its data centre.
+
+        A daemon that knows no other watches for itself.
+        """
+        return not self._watchers or self._me in self._watchers
+
+    def members(self) -> tuple[FleetMember, ...]:
+        """Return every known instance, this one included, by identifier."""
+        others = self._members.members(self._now())
+        return tuple(sorted((self._self(), *others), key=lambda m: m.instance))
+
+    def in_force(self, generation: int) -> tuple[FleetMember, ...]:
+        """Return the members that are known to serve at least a generation."""
+        return tuple(m for m in self.members() if m.generation >= generation)
+
+    def missing(self, generation: int) -> tuple[FleetMember, ...]:
+        """Return the members not known to serve at least a generation."""
+        return tuple(
+            m
+            for m in self.members()
+            if m.generation < generation and m.state is not MemberState.GONE
+        )
+
+    def _self(self) -> FleetMember:
+        settings, current = self._node.settings, self._node.configuration.current
+        return FleetMember(
+            instance=self._me,
+            region=settings.region,
+            data_centre=settings.data_centre,
+            state=MemberState.LEAVING if self._node.stopping else MemberState.LIVE,
+            incarnation=self._members.incarnation,
+            generation=0 if current is None else current.generation,
+            digest="" if current is None else current.digest,
+            last_heard=timedelta(),
+            listed=self._me in self._listed,
+        )
+
+    def _now(self) -> timedelta:
+        return self._node.clock.monotonic()
+
+    def _heartbeat(self, *, answer: bool) -> Heartbeat:
+        current = self._node.configuration.current
+        digest = bytes.fromhex(current.digest) if current else b""
+        return Heartbeat(
+            answer=answer,
+            incarnation=self._members.incarnation,
+            leaving=self._node.stopping,
+            generation=0 if current is None else current.generation,
+            digest=digest[:SHORT_DIGEST_BYTES],
+            rumours=self._members.rumours(),
+        )
+
+    def _on_round(self) -> None:
+        self._round += 1
+        self._report(self._members.tick(self._now()))
+        self._choose()
+        targets = {self._successor} if self._successor else set()
+        if self._round % CONTACT_ROUNDS == 0:
+            targets.update(self._contacts)
+        if self._round % WATCHER_ROUNDS == 0:
+            targets.update(self._watchers)
+        for instance in targets - {self._me}:
+            self._members.asked(instance, self._now())
+            self._mesh.send(instance, self._heartbeat(answer=True))
+
+    def _choose(self) -> None:
+        usable = tuple(i for i in self._listed if self._members.usable(i))
+        centre = self._node.settings.data_centre
+        near = tuple(i for i in usable if self._listed[i].data_centre == centre)
+        self._watchers = watchers(centre, near)
+        self._successor = successor(self._me, near)
+        # A peer that looks dead stays a contact, so that it is found again.
+        self._contacts = neighbours(self._me, self._listed, CONTACTS)
+        chosen = {*self._watchers, *self._contacts, self._successor} - {self._me}
+        observed = {i for i in chosen if i is not None}
+        self._members.release(observed)
+        self._mesh.aim({i: self._listed[i].peers for i in observed})
+
+    def _on_heartbeat(self, peer: PeerIdentity, message: Heartbeat) -> None:
+        now = self._now()
+        news = PeerNews(
+            peer.instance,
+            peer.region,
+            peer.data_centre,
+            message.incarnation,
+            message.leaving,
+            message.generation,
+            message.digest.hex(),
+        )
+        self._report(self._members.heard(news, now))
+        for rumour in message.rumours:
+            self._report(self._members.rumour(rumour, now))
+        if message.answer:
+            self._mesh.send(peer.instance, self._heartbeat(answer=False))
+
+    def _on_configuration(self, _: InForce) -> None:
+        near = (self._successor, *self._contacts)
+        for instance in {i for i in near if i is not None}:
+            self._mesh.send(instance, self._heartbeat(answer=False))
+
+    def _report(self, transitions: Iterable[Transition]) -> None:
+        for item in transitions:
+            self._node.sink.emit(
+                MemberChanged(item.instance, item.state.value, item.incarnation)
+            )
+
+
+def listed_self(node: Node) -> ListedInstance:
+    """Return this daemon's own entry, which the platform's list may lack."""
+    settings = node.settings
+    return ListedInstance(
+        id=InstanceId(settings.instance),
+        region=settings.region,
+        data_centre=settings.data_centre,
+        callers=settings.callers,
+        peers=settings.peers,
+        state=InstanceState.LEAVING if node.stopping else InstanceState.LIVE,
+        operators=settings.operators,
+    )
--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_membership_events.py
@@ -0,0 +1,20 @@
+"""Events of the view of the fleet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import final
+
+from sycamorenotch_kernel import Event
+from sycamorenotch_kernel import event
+
+
+@event(4201, "member.changed")
+@final
+@dataclass(frozen=True, slots=True)
+class MemberChanged(Event):
+    """An instance became live, leaving, suspect or gone in this daemon's view."""
+
+    instance: str
+    state: str
+    incarnation: int
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -47,6 +47,9 @@
 from sycamorenotch_policies._claims import fingerprint
 from sycamorenotch_policies._concurrency import ConcurrencyLimit
 from sycamorenotch_policies._connections import ConnectionBudget
+from sycamorenotch_policies._distribution import ConfigurationHistory
+from sycamorenotch_policies._distribution import ConfigurationText
+from sycamorenotch_policies._distribution import Confirmation
 from sycamorenotch_policies._fleet import FleetMember
 from sycamorenotch_policies._grant_holding import GrantHolding
 from sycamorenotch_policies._grants import GONE_GRACE
@@ -71,12 +74,18 @@
 from sycamorenotch_policies._lookup import LookupTable
 from sycamorenotch_policies._measurements import Assessment
 from sycamorenotch_policies._measurements import assess
+from sycamorenotch_policies._membership import Membership
+from sycamorenotch_policies._membership import PeerNews
+from sycamorenotch_policies._membership import Transition
 from sycamorenotch_policies._outcomes import Outcome
 from sycamorenotch_policies._quarantine import Quarantine
 from sycamorenotch_policies._quarantine import Signature
 from sycamorenotch_policies._quarantine import Strike
 from sycamorenotch_policies._quarantine import sign_request
 from sycamorenotch_policies._quotas import worker_quotas
+from sycamorenotch_policies._rendezvous import neighbours
+from sycamorenotch_policies._rendezvous import successor
+from sycamorenotch_policies._rendezvous import watchers
 from sycamorenotch_policies._retry import BudgetedRetry
 from sycamorenotch_policies._retry import FailedAttempt
 from sycamorenotch_policies._retry import GiveUp
@@ -127,6 +136,9 @@
     "ClaimWriteLost",
     "ClaimWritten",
     "ConcurrencyLimit",
+    "ConfigurationHistory",
+    "ConfigurationText",
+    "Confirmation",
     "ConnectionBudget",
     "CountRing",
     "Demand",
@@ -151,10 +163,12 @@
     "LookupAnswer",
     "LookupTable",
     "MakePlan",
+    "Membership",
     "Moment",
     "NearestRegion",
     "NeverRetry",
     "Outcome",
+    "PeerNews",
     "PlainRetry",
     "PlanDecision",
     "Quarantine",
@@ -173,6 +187,7 @@
     "SteeringView",
     "Strike",
     "Ticket",
+    "Transition",
     "TwoChoices",
     "UnlimitedAdmission",
     "UpstreamChoice",
@@ -187,7 +202,10 @@
     "fingerprint",
     "lease_candidates",
     "make_plan",
+    "neighbours",
     "regrant",
     "sign_request",
+    "successor",
+    "watchers",
     "worker_quotas",
 ]
--- a/packages/workbench/src/sycamorenotch_workbench/_control.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_control.py
@@ -25,7 +25,7 @@
 from sycamorenotch_standins import ObjectTable
 from sycamorenotch_standins._memory import MemoryStore
 
-CONTROL = ("peers", "membership", "configuration", "instances")
+CONTROL = ("drains", "peers", "membership", "configuration", "instances")
 ENVIRONMENT = "production"
 PEER_KEY = b"key of the workbench"
 STORE_CALLS_PER_SECOND = 20
@@ -80,15 +80,18 @@
     *,
     key: bytes = PEER_KEY,
     names: Sequence[str] = CONTROL,
+    adapter: Any = None,
 ) -> ControlDaemon:
     """Build a daemon of control components that listens on loopback.
 
     :param place: region and data centre.
     :param port: port of the peers' listener.
+    :param adapter: store adapter; one over the table if absent.
     """
     clock, random, sink = ReactorClock(reactor), Random(name), EventList()
     store = MemoryStore(table, reactor)
-    guard = StoreGuard(store, reactor, clock, random, sink, STORE_CALLS_PER_SECOND)
+    inner = store if adapter is None else adapter
+    guard = StoreGuard(inner, reactor, clock, random, sink, STORE_CALLS_PER_SECOND)
     node = Node(
         settings=_settings(name, place, port),
         reactor=reactor,
--- /dev/null
+++ b/packages/workbench/src/sycamorenotch_workbench/_fleet.py
@@ -0,0 +1,185 @@
+"""A fleet of control daemons on loopback, in one process and one loop."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from itertools import product
+from typing import Any
+from typing import final
+
+from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.task import deferLater
+from twisted.protocols.policies import ProtocolWrapper
+from twisted.protocols.policies import WrappingFactory
+from twisted.web.server import Site
+
+from sycamorenotch_daemon._http_store import HttpStore
+from sycamorenotch_daemon._peer_stream import Traffic
+from sycamorenotch_kernel import InstanceId
+from sycamorenotch_standins import ObjectTable
+from sycamorenotch_standins import StoreApi
+from sycamorenotch_workbench._control import ENVIRONMENT
+from sycamorenotch_workbench._control import ControlDaemon
+from sycamorenotch_workbench._control import control_daemon
+from sycamorenotch_workbench._example import EXAMPLES
+from sycamorenotch_workbench._example import LOOPBACK
+from sycamorenotch_workbench._example import free_ports
+
+POLL_S = 0.002
+KIND = "environments"
+
+
+@final
+class CountingProtocol(ProtocolWrapper):
+    """Counts the bytes of every connection of a factory."""
+
+    factory: CountingFactory
+
+    def dataReceived(self, data: bytes) -> None:
+        """Count and pass on."""
+        self.factory.bytes += len(data)
+        super().dataReceived(data)
+
+    def write(self, data: bytes) -> None:
+        """Count and pass on."""
+        self.factory.bytes += len(data)
+        super().write(data)
+
+    def writeSequence(self, iovec: Any) -> None:
+        """Count and pass on."""
+        self.factory.bytes += sum(map(len, iovec))
+        super().writeSequence(iovec)
+
+
+@final
+class CountingFactory(WrappingFactory):
+    """Builds counting connections."""
+
+    protocol = CountingProtocol
+    bytes = 0
+
+
+@final
+class ControlFleet:
+    """Control daemons over one stand-in store.
+
+    :param size: number of daemons.
+    :param regions: number of regions, of two data centres each.
+    :param over_http: whether the daemons reach the store over HTTP.
+    :param alone: whether each daemon knows no other, the baseline.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        size: int,
+        *,
+        regions: int = 3,
+        over_http: bool = False,
+        alone: bool = False,
+    ) -> None:
+        self._reactor = reactor
+        self._over_http = over_http
+        self._alone = alone
+        self.text = (EXAMPLES / "vatukoula.ini").read_text()
+        self.table = ObjectTable()
+        self.api = StoreApi(self.table, reactor)
+        self.counter = CountingFactory(Site(self.api.app.resource()))
+        self._port: IListeningPort | None = None
+        self._url = ""
+        places = [(f"r{r}", f"r{r}-{c}") for r, c in product(range(regions), range(2))]
+        self.slots = [
+            (f"entry-{index:03d}", places[index % len(places)], port)
+            for index, port in enumerate(free_ports(size))
+        ]
+        self.daemons: dict[str, ControlDaemon] = {}
+
+    async def start(self) -> None:
+        """Start the store and every daemon, then wait for their streams."""
+        if self._over_http:
+            endpoint = TCP4ServerEndpoint(self._reactor, 0, interface=LOOPBACK)
+            self._port = await endpoint.listen(self.counter)
+            self._url = f"http://{LOOPBACK}:{self._port.getHost().port}"
+        self.table.create(KIND, ENVIRONMENT, self.text.encode())
+        for slot in self.slots:
+            self.add(slot)
+        self.list_all()
+        for daemon in self.daemons.values():
+            await daemon.start()
+        await self.until(lambda: self.in_force(self.generation))
+
+    def add(self, slot: tuple[str, tuple[str, str], int]) -> ControlDaemon:
+        """Build the daemon of a slot; a former one must have been stopped."""
+        name, place, port = slot
+        adapter = HttpStore(self._url, self._reactor) if self._over_http else None
+        daemon = control_daemon(
+            self._reactor, self.table, name, place, port, adapter=adapter
+        )
+        self.daemons[name] = daemon
+        return daemon
+
+    def list_all(self, missing: Sequence[str] = ()) -> None:
+        """Set the platform's list to every daemon but the missing ones."""
+        listed = tuple(
+            d.listed for name, d in self.daemons.items() if name not in missing
+        )
+        shown = () if self._alone else listed
+        for daemon in self.daemons.values():
+            daemon.store.listed = shown
+        fields = ("id", "region", "data_centre", "callers", "peers", "operators")
+        self.api.instances = {
+            entry.id: {**{f: getattr(entry, f) for f in fields}, "state": "live"}
+            for entry in shown
+        }
+
+    async def stop(self) -> None:
+        """Stop every daemon and the store."""
+        for daemon in self.daemons.values():
+            await daemon.stop()
+        if self._port is not None:
+            await self._port.stopListening()
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait for a condition."""
+        while not condition():
+            await deferLater(self._reactor, POLL_S)
+
+    @property
+    def generation(self) -> int:
+        """The generation in the store."""
+        return self.table.get(KIND, ENVIRONMENT).ok.version
+
+    def write(self, number: int) -> int:
+        """Store a changed document.
+
+        :return: the generation written.
+        """
+        text = self.text.replace("cap = 10%", f"cap = {number % 9 + 1}%")
+        text += f"# change {number}\n"
+        current = self.table.get(KIND, ENVIRONMENT).ok
+        written = self.table.update(KIND, ENVIRONMENT, text.encode(), current.version)
+        return int(written.ok.version)
+
+    def in_force(self, generation: int) -> bool:
+        """Return whether every daemon serves at least a generation."""
+        return all(
+            daemon.node.configuration.generation >= generation
+            for daemon in self.daemons.values()
+        )
+
+    def traffic(self) -> Traffic:
+        """Return the traffic of all peer streams together."""
+        each = [daemon.node.require(Traffic) for daemon in self.daemons.values()]
+        return Traffic(
+            sum(t.sent_bytes for t in each),
+            sum(t.received_bytes for t in each),
+            sum(t.sent_messages for t in each),
+            sum(t.received_messages for t in each),
+            sum(t.dropped_messages for t in each),
+        )
+
+    def ids(self) -> frozenset[InstanceId]:
+        """Return the identifiers of the daemons."""
+        return frozenset(map(InstanceId, self.daemons))
--- /dev/null
+++ b/testing/daemon/test_control_fleet.py
@@ -0,0 +1,172 @@
+"""Tests of daemons that act as one, over loopback streams."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+from functools import partial
+from typing import Any
+
+from twisted.internet import reactor
+
+from sycamorenotch_daemon._configuration import ConfigurationWatch
+from sycamorenotch_daemon._configuration import Readiness
+from sycamorenotch_daemon._fleet import FleetView
+from sycamorenotch_daemon._instances import InstanceView
+from sycamorenotch_daemon._membership import FleetMembership
+from sycamorenotch_daemon._peer_mesh import PeerMesh
+from sycamorenotch_daemon._store_guard import StoreCalls
+from sycamorenotch_kernel import Heartbeat
+from sycamorenotch_kernel import InstanceId
+from sycamorenotch_kernel import MemberState
+from sycamorenotch_workbench._control import ControlDaemon
+from sycamorenotch_workbench._fleet import ControlFleet
+
+HEARTBEAT = Heartbeat(False, 0, False, 0, b"")
+
+Scenario = Callable[[ControlFleet], Coroutine[Any, Any, None]]
+
+
+def run_fleet(
+    run_in_reactor: Callable[..., Any], size: int, scenario: Scenario
+) -> None:
+    fleet = ControlFleet(reactor, size)
+
+    async def run() -> None:
+        await fleet.start()
+        try:
+            await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    run_in_reactor(run())
+
+
+def is_watcher(daemon: ControlDaemon) -> bool:
+    return daemon.node.require(FleetMembership).is_watcher()
+
+
+def linked(fleet: ControlFleet) -> bool:
+    """Return whether each daemon has a stream to each watcher it should have."""
+    return all(
+        {InstanceId(name), *daemon.node.require(PeerMesh)._streams}
+        >= set(daemon.node.require(FleetMembership).watchers())
+        and daemon.node.require(FleetMembership).watchers()
+        for name, daemon in fleet.daemons.items()
+    )
+
+
+def test_change_is_in_force_everywhere_when_only_watchers_call_the_store(
+    run_in_reactor: Callable[..., Any],
+) -> None:
+    async def scenario(fleet: ControlFleet) -> None:
+        await fleet.until(lambda: linked(fleet))
+        watching = [d for d in fleet.daemons.values() if is_watcher(d)]
+        assert len(watching) == 12
+        for number in range(5):
+            await fleet.until(partial(fleet.in_force, fleet.write(number)))
+        others = [d for d in fleet.daemons.values() if not is_watcher(d)]
+        before = [sum(d.node.require(StoreCalls).made.values()) for d in others]
+        generation = fleet.write(9)
+        await fleet.until(lambda: fleet.in_force(generation))
+        after = [sum(d.node.require(StoreCalls).made.values()) for d in others]
+        assert before == after
+
+    run_fleet(run_in_reactor, 24, scenario)
+
+
+def test_change_arrives_by_heartbeat_when_pushes_are_lost(
+    run_in_reactor: Callable[..., Any],
+) -> None:
+    async def scenario(fleet: ControlFleet) -> None:
+        await fleet.until(lambda: linked(fleet))
+        for daemon in fleet.daemons.values():
+            (watch,) = (c for c in daemon.components if type(c) is ConfigurationWatch)
+            watch._push_to_members = lambda _: None  # type: ignore[method-assign]
+        generation = fleet.write(1)
+        await fleet.until(lambda: fleet.in_force(generation))
+
+    run_fleet(run_in_reactor, 18, scenario)
+
+
+def test_change_is_in_force_and_view_complete_when_watchers_die(
+    run_in_reactor: Callable[..., Any],
+) -> None:
+    async def scenario(fleet: ControlFleet) -> None:
+        await fleet.until(lambda: linked(fleet))
+        victims = [name for name, d in fleet.daemons.items() if is_watcher(d)][:2]
+        for name in victims:
+            dead = fleet.daemons.pop(name)
+            # It dies without the announcement of an orderly stop.
+            dead.node.require(FleetMembership)._heartbeat = lambda **_: HEARTBEAT  # type: ignore[method-assign]
+            await dead.stop()
+        generation = fleet.write(1)
+        await fleet.until(lambda: fleet.in_force(generation))
+        watcher = next(iter(fleet.daemons.values()))
+        view = watcher.node.require(FleetView)  # type: ignore[type-abstract]
+
+        def found_dead() -> bool:
+            dead = (MemberState.SUSPECT, MemberState.GONE)
+            found = {m.instance for m in view.members() if m.state in dead}
+            missing = {m.instance for m in view.missing(generation)}
+            return found == set(victims) and missing <= found
+
+        await fleet.until(found_dead)
+        assert len(view.in_force(generation)) == len(fleet.daemons)
+        shown = watcher.node.require(InstanceView)  # type: ignore[type-abstract]
+        assert {i.id for i in shown.instances()} == fleet.ids()
+
+    run_fleet(run_in_reactor, 12, scenario)
+
+
+def test_replaced_daemon_takes_configuration_from_peers_when_store_is_down(
+    run_in_reactor: Callable[..., Any],
+) -> None:
+    async def scenario(fleet: ControlFleet) -> None:
+        generation = fleet.write(1)
+        await fleet.until(lambda: linked(fleet) and fleet.in_force(generation))
+        slot = fleet.slots[3]
+        await fleet.daemons[slot[0]].stop()
+        for daemon in fleet.daemons.values():
+            daemon.store.fault.set("down", 0, None)
+        replaced = fleet.add(slot)
+        replaced.store.fault.set("down", 0, None)
+        await replaced.start()
+        readiness = replaced.node.require(Readiness)  # type: ignore[type-abstract]
+        assert not readiness.is_ready()
+        await fleet.until(readiness.is_ready)
+        assert replaced.node.configuration.generation == generation
+        for daemon in fleet.daemons.values():
+            daemon.store.listed = tuple(d.listed for d in fleet.daemons.values())
+            daemon.store.fault.set("none", 0, None)
+        later = fleet.write(2)
+        await fleet.until(lambda: fleet.in_force(later))
+
+    run_fleet(run_in_reactor, 9, scenario)
+
+
+def test_leaving_instance_is_known_to_others_when_it_stops(
+    run_in_reactor: Callable[..., Any],
+) -> None:
+    async def scenario(fleet: ControlFleet) -> None:
+        await fleet.until(lambda: linked(fleet))
+        name = fleet.slots[0][0]
+        leaver = fleet.daemons.pop(name)
+        leaver.node.stopping = True
+        views = [
+            d.node.require(FleetView)  # type: ignore[type-abstract]
+            for d in fleet.daemons.values()
+        ]
+
+        def all_know() -> bool:
+            return all(
+                m.state is MemberState.LEAVING
+                for view in views
+                for m in view.members()
+                if m.instance == name
+            )
+
+        await fleet.until(all_know)
+        await leaver.stop()
+
+    run_fleet(run_in_reactor, 8, scenario)
--- /dev/null
+++ b/testing/policies/test_distribution.py
@@ -0,0 +1,82 @@
+"""Tests of how configurations travel."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sycamorenotch_policies import ConfigurationHistory
+from sycamorenotch_policies import ConfigurationText
+from sycamorenotch_policies import Confirmation
+
+
+@given(st.lists(st.binary(max_size=40), min_size=2, max_size=8))
+def test_text_is_the_same_when_pushed_as_a_difference(texts: list[bytes]) -> None:
+    sender, receiver = ConfigurationHistory(), ConfigurationHistory()
+    for generation, text in enumerate(texts, start=1):
+        before = 0 if receiver.newest is None else receiver.newest.generation
+        sender.add(ConfigurationText.of(generation, text))
+        push = sender.push_to(before)
+        assert push is not None
+        received = receiver.text_of(push)
+        assert received == sender.newest
+        receiver.add(received)
+
+
+@given(st.permutations(range(1, 6)), st.lists(st.integers(1, 5), max_size=5))
+def test_pushes_are_refused_or_right_when_reordered_and_repeated(
+    order: list[int], repeated: list[int]
+) -> None:
+    sender, receiver = ConfigurationHistory(), ConfigurationHistory()
+    pushes = {}
+    for generation in range(1, 6):
+        before = sender.newest.generation if sender.newest else 0
+        text = b"start %d end" % generation * generation
+        sender.add(ConfigurationText.of(generation, text))
+        pushes[generation] = sender.push_to(before)
+    for generation in (*order, *repeated):
+        in_force = receiver.newest.generation if receiver.newest else 0
+        push = pushes[generation]
+        text = receiver.text_of(push) if generation > in_force else None
+        if text is not None:
+            assert text.text == b"start %d end" % generation * generation
+            receiver.add(text)
+    newest = receiver.newest
+    assert newest is None or newest.generation == max(receiver._texts)
+
+
+def test_push_is_small_when_one_word_of_a_long_text_changes() -> None:
+    history = ConfigurationHistory()
+    history.add(ConfigurationText.of(1, b"x" * 9000 + b"cap = 1" + b"y" * 9000))
+    history.add(ConfigurationText.of(2, b"x" * 9000 + b"cap = 2" + b"y" * 9000))
+    push = history.push_to(1)
+    assert push is not None and push.middle == b"2"
+    assert history.push_to(2) is None
+    assert history.push_to(0).middle == history.newest.text
+
+
+def test_damaged_push_gives_nothing() -> None:
+    history = ConfigurationHistory()
+    history.add(ConfigurationText.of(1, b"text"))
+    push = history.push_to(0)
+    other = ConfigurationText.of(1, b"else")
+    damaged = type(push)(1, other.digest, 0, 0, 0, push.middle)
+    assert ConfigurationHistory().text_of(damaged) is None
+
+
+def test_configuration_of_peers_waits_until_none_is_newer() -> None:
+    confirmation = Confirmation()
+    assert not confirmation.judge(0, 2)
+    confirmation.peer_stated("a", 3)
+    assert not confirmation.judge(3, 2)
+    confirmation.peer_stated("b", 4)
+    assert not confirmation.judge(3, 2)
+    assert confirmation.judge(4, 2)
+    confirmation.peer_stated("c", 9)
+    assert confirmation.judge(4, 2)
+
+
+def test_configuration_of_the_store_needs_no_peer() -> None:
+    confirmation = Confirmation()
+    confirmation.store_gave()
+    assert confirmation.judge(1, 0)
