Read the list at once when an unknown peer connects

Cause: an instance that had just started was missing from the others' status and look-up answers until their next poll, so five tests of the commands failed (testing/cli) once the list was polled by watchers only. Change: a stream from an instance that is not in the list triggers a reading.

--- a/packages/daemon/src/sycamorenotch_daemon/_instances.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_instances.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 from typing import final
 
+from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
 from sycamorenotch_daemon._listing import Listing
@@ -86,8 +87,10 @@
         return dataclasses.replace(entry, state=InstanceState.LEAVING)
 
     async def _on_poll(self) -> None:
-        if not self._fleet.is_watcher() and self._mesh.connected():
-            return
+        if self._fleet.is_watcher() or not self._mesh.connected():
+            await self._read()
+
+    async def _read(self) -> None:
         found = await self._node.directory.instances(POLL_TIMEOUT)
         # An empty list cannot be right, as this instance should be in it.
         if found.is_error() or (self._listing.entries and not found.ok):
@@ -104,6 +107,9 @@
                 self._mesh.send(peer.instance, push)
 
     def _on_connected(self, peer: PeerIdentity) -> None:
+        # A newcomer should not wait until the list is polled next.
+        if self._poll.running and peer.instance not in self._listing.entries:
+            Deferred.fromCoroutine(self._read())
         if not self._listing.entries:
             self._mesh.send(peer.instance, ListingRequest())
             return
