Confirm grants to instances and report demand to the holder

A loan had nobody to confirm it, and the holder saw no demand. Each instance asks the holder once a second whether its plan is the one in force and sends the rates of the calls that reached it; the loan counts from when the question was sent. Demand is used only while every listed instance has reported. Under a virtual clock the confirmed grants stay within the capacity, and a loan lapses when an instance is cut off.

--- /dev/null
+++ b/packages/daemon/src/sycamorenotch_daemon/_plan_asker.py
@@ -0,0 +1,105 @@
+"""Asks the holder whether this instance's plan is the one in force."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import ClassVar
+from typing import final
+
+from sycamorenotch_daemon._background import Background
+from sycamorenotch_daemon._demand import DemandCounter
+from sycamorenotch_daemon._node import Node
+from sycamorenotch_daemon._peer_greeting import PeerIdentity
+from sycamorenotch_daemon._peer_mesh import PeerMesh
+from sycamorenotch_daemon._plan_holder import PlanHolder
+from sycamorenotch_daemon._plan_messages import PlanConfirmation
+from sycamorenotch_daemon._plan_messages import PlanQuestion
+from sycamorenotch_daemon._plan_watch import PlanWatch
+from sycamorenotch_kernel import InstanceId
+from sycamorenotch_kernel import Plan
+from sycamorenotch_kernel import components
+from sycamorenotch_policies import GrantHolding
+
+QUESTION_INTERVAL = timedelta(seconds=1)
+
+
+@components.register("plan-asker")
+@final
+class PlanAsker:
+    """Keeps the instance's grants alive and reports demand to the holder.
+
+    A loan lapses by this instance's own monotonic clock, counted from when it
+    sent the question that the holder answered.
+    """
+
+    after: ClassVar[tuple[str, ...]] = ("calls", "peers", "plan", "plan-holder")
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._me = InstanceId(node.settings.instance)
+        self._mesh = node.require(PeerMesh)
+        self._watch = node.require(PlanWatch)
+        self._holder = node.require(PlanHolder)
+        self._holding = GrantHolding(self._me)
+        self._loop = Background(node.reactor, node.sink, self._turn)
+        self._question = 0
+        self._asked_at = timedelta()
+        self._mesh.handle(PlanQuestion, self._on_question)
+        self._mesh.handle(PlanConfirmation, self._on_confirmation)
+        node.provide(GrantHolding, self._holding)
+
+    async def start(self) -> None:
+        """Start to ask."""
+        self._watch.subscribe(self._on_plan)
+        self._loop.start(self._node.random.random() * QUESTION_INTERVAL)
+
+    async def stop(self) -> None:
+        """Stop asking."""
+        self._loop.stop()
+
+    def _on_plan(self, plan: Plan) -> None:
+        self._holding.accept(plan)
+
+    async def _turn(self) -> timedelta:
+        plan = self._watch.plan()
+        if plan is not None:
+            self._ask(plan.holder)
+        return QUESTION_INTERVAL * (0.9 + 0.2 * self._node.random.random())
+
+    def _ask(self, holder: InstanceId) -> None:
+        now = self._node.clock.monotonic()
+        self._question += 1
+        self._asked_at = now
+        demands = self._node.require(DemandCounter).report(now)
+        question = PlanQuestion(self._question, self._holding.sequence, demands)
+        if holder != self._me:
+            self._mesh.send(holder, question)
+            return
+        confirmation = self._answer(self._me, question)
+        if confirmation is not None:
+            self._accept(confirmation)
+
+    def _answer(
+        self, instance: InstanceId, question: PlanQuestion
+    ) -> PlanConfirmation | None:
+        self._holder.take_demands(instance, question.demands)
+        if not self._holder.confirms(instance, question.sequence):
+            return None
+        return PlanConfirmation(question.question, question.sequence)
+
+    def _on_question(self, peer: PeerIdentity, question: PlanQuestion) -> None:
+        confirmation = self._answer(peer.instance, question)
+        if confirmation is not None:
+            self._mesh.send(peer.instance, confirmation)
+
+    def _on_confirmation(
+        self, peer: PeerIdentity, confirmation: PlanConfirmation
+    ) -> None:
+        plan = self._watch.plan()
+        if plan is not None and peer.instance == plan.holder:
+            self._accept(confirmation)
+
+    def _accept(self, confirmation: PlanConfirmation) -> None:
+        # An answer to an earlier question says nothing about the last one.
+        if confirmation.question == self._question:
+            self._holding.confirm(confirmation.sequence, self._asked_at)
--- a/packages/daemon/src/sycamorenotch_daemon/_plan_holder.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_plan_holder.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from sycamorenotch_daemon._background import Background
+from sycamorenotch_daemon._fleet_demand import FleetDemand
 from sycamorenotch_daemon._instances import InstanceView
 from sycamorenotch_daemon._lease import PlanLease
 from sycamorenotch_daemon._node import InForce
@@ -18,6 +19,7 @@
 from sycamorenotch_daemon._plan_events import PlanLeaseLapsed
 from sycamorenotch_daemon._plan_events import PlanNotWritten
 from sycamorenotch_daemon._plan_events import PlanWritten
+from sycamorenotch_daemon._plan_messages import DemandReport
 from sycamorenotch_daemon._plan_watch import PlanWatch
 from sycamorenotch_kernel import DecisionKind
 from sycamorenotch_kernel import DecisionRecord
@@ -54,6 +56,7 @@
         self._term: int | None = None
         self._written_term: int | None = None
         self._contacts = PlanContacts(timedelta())
+        self._demands = FleetDemand()
         # Whether the store is known to hold the plan that is in force here.
         self._settled = False
         node.provide(PlanHolder, self)
@@ -67,6 +70,12 @@
         """Stop making plans."""
         self._loop.stop()
 
+    def take_demands(
+        self, instance: InstanceId, demands: tuple[DemandReport, ...]
+    ) -> None:
+        """Take in the requests that reached an instance."""
+        self._demands.report(instance, demands, self._node.clock.monotonic())
+
     def confirms(self, instance: InstanceId, sequence: int) -> bool:
         """Return whether the plan of an instance is the one in force.
 
@@ -124,13 +133,14 @@
             *(item.grant.instance for item in outstanding),
         )
         now = self._node.clock.monotonic()
-        listed = (item.id for item in instances)
+        listed = tuple(item.id for item in instances)
         return SteeringView(
             environment=current.environment,
             generation=current.generation,
             holder=self._me,
             instances=instances,
             contacts=self._contacts.update(listed, holding, now),
+            demands=self._demands.total(current.environment, listed, now),
             drained=self._drained_regions(current),
         )
 
--- a/packages/daemon/src/sycamorenotch_daemon/_quarantine_stage.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_quarantine_stage.py
@@ -27,7 +27,7 @@
 class QuarantineStage:
     """Signs each call and refuses the ones in quarantine."""
 
-    after: ClassVar[tuple[str, ...]] = ()
+    after: ClassVar[tuple[str, ...]] = ("demand",)
 
     def __init__(self, node: Node) -> None:
         self._node = node
