Count a move by the highest share that its route is likely to have

Change: a view tells over which time its rates were averaged; a move counts with the route's share two standard deviations up, of a total two down. The fixed margin goes back to a tenth.

--- a/packages/policies/src/sycamorenotch_policies/_measurements.py
+++ b/packages/policies/src/sycamorenotch_policies/_measurements.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from itertools import product
+from math import sqrt
 from typing import final
 
 from sycamorenotch_kernel import Environment
@@ -26,6 +27,8 @@
 FAILING = 0.3
 HEALTHY = 0.02
 COLD_SHARE = 0.1
+# Standard deviations of a count that a share is taken too high by.
+DEVIATIONS = 2.0
 
 
 @final
@@ -60,14 +63,27 @@
 
     :param capacities: by region and service.
     :param rates: requests per second by service, client region and rank.
+    :param window: shortest time over which a rate was averaged.
     :param held: services whose demand is unknown, so that routes stay.
     """
 
     capacities: Capacities
     rates: Rates
+    window: timedelta
     held: frozenset[str]
     events: tuple[Event, ...]
 
+    def highest_share(self, service: str, rate: float) -> float:
+        """Return a route's share of a service that noise hardly exceeds.
+
+        :param rate: measured requests per second of the route.
+        """
+        total = self.total(service)
+        window_s = self.window.total_seconds()
+        highest = rate + DEVIATIONS * sqrt(rate / window_s)
+        lowest = total - DEVIATIONS * sqrt(total / window_s)
+        return min(1.0, highest / lowest) if lowest > 0 else 1.0
+
     def total(self, service: str) -> float:
         """Return the whole demand for a service, in requests per second."""
         return sum(rate for key, rate in self.rates.items() if key[0] == service)
@@ -91,7 +107,8 @@
     held = frozenset(_without_demand(view))
     events.extend(DemandStale(service) for service in sorted(held))
     rates = {(d.service, d.source, d.rank): d.rate for d in view.demands}
-    return Assessment(capacities, rates, held, tuple(events))
+    window = min((d.window for d in view.demands), default=timedelta(seconds=1))
+    return Assessment(capacities, rates, window, held, tuple(events))
 
 
 def _capacity(
--- a/packages/policies/src/sycamorenotch_policies/_steering_moves.py
+++ b/packages/policies/src/sycamorenotch_policies/_steering_moves.py
@@ -24,7 +24,7 @@
 from sycamorenotch_policies._steering_occupancy import Shares
 
 # Part of the cap that is planned for; demand may change before the next plan.
-CAP_MARGIN = 0.8
+CAP_MARGIN = 0.9
 # Smallest move worth a plan, as a share of a service's traffic.
 SMALLEST_SHIFT = 0.002
 
@@ -111,25 +111,27 @@
     ) -> tuple[float, str]:
         key = move.key
         cap_room = self.ledger.room(key.service) - (1 - CAP_MARGIN) * self.ledger.cap
+        route_rate = self.occupancy.rate(key)
+        # A part of the route costs that part of the route's highest share.
+        cost = self._assessment.highest_share(key.service, route_rate) / route_rate
         rooms = {
             "headroom": self.occupancy.room(key, target, move.limit) / COLD_COST,
             "link budget": self.occupancy.link_room(key, target),
-            "shift cap": max(0.0, cap_room) * total,
+            "shift cap": max(0.0, cap_room) / cost,
         }
         limit = min(rooms, key=rooms.__getitem__)
         rate = min(wanted, rooms[limit])
         if rate <= SMALLEST_SHIFT * total:
             return 0.0, limit
-        self._apply(move, target, rate, total)
+        self._apply(move, target, rate, rate * cost)
         return rate, limit
 
-    def _apply(self, move: Move, target: str, rate: float, total: float) -> None:
+    def _apply(self, move: Move, target: str, rate: float, share: float) -> None:
         key = move.key
         shares = self.shares[key]
         part = min(rate / self.occupancy.rate(key), shares[move.source])
         shares[move.source] -= part
         shares[target] = shares.get(target, 0.0) + part
-        share = rate / total
         self.ledger = self.ledger.add(
             Shift(key.service, move.source, target, share, self._now, move.cause)
         )
--- a/packages/policies/src/sycamorenotch_policies/_steering_view.py
+++ b/packages/policies/src/sycamorenotch_policies/_steering_view.py
@@ -24,6 +24,8 @@
 
     :param rate: requests per second, refused ones included.
     :param age: time since the oldest part of the sum was measured.
+    :param window: time over which the rate was averaged; the shorter it is, the
+        more is kept free below the shift cap.
     """
 
     service: str
@@ -31,6 +33,7 @@
     rank: Rank
     rate: float
     age: timedelta
+    window: timedelta = timedelta(seconds=10)
 
 
 @final
