Ask one instance how far a generation has spread

Change: an endpoint answers from what the instance has heard of the others; the command asks all of them, 64 at a time, only where an instance hears nothing. Damaged envelopes are fuzzed; their error names the field and not the content.

--- a/packages/cli/src/sycamorenotch_cli/_fleet.py
+++ b/packages/cli/src/sycamorenotch_cli/_fleet.py
@@ -12,6 +12,7 @@
 from expression import Result
 from pydantic import BaseModel
 from twisted.internet.defer import Deferred
+from twisted.internet.defer import DeferredSemaphore
 from twisted.internet.defer import gatherResults
 
 from sycamorenotch_cli._client import OperatorsClient
@@ -19,6 +20,8 @@
 from sycamorenotch_cli._messages import InstanceModel
 from sycamorenotch_cli._messages import StatusModel
 
+CONCURRENT_REQUESTS = 64
+
 M = TypeVar("M", bound=BaseModel)
 
 
@@ -53,7 +56,7 @@
 async def ask_fleet(
     client: OperatorsClient, path: str, model: type[M]
 ) -> Result[FleetAnswers[M], Refusal]:
-    """Ask each instance that the first one lists, all at once.
+    """Ask each instance that the first one lists, many at once.
 
     :return: the refusal of the first instance if it cannot list the others.
     """
@@ -64,9 +67,12 @@
     asked = [
         client if item.id == me else client.peer(item.operators) for item in listed
     ]
-    results = await gatherResults(
-        [Deferred.fromCoroutine(one.get(path, model)) for one in asked]
-    )
+    slots = DeferredSemaphore(CONCURRENT_REQUESTS)
+
+    def ask(one: OperatorsClient) -> Deferred[Result[M, Refusal]]:
+        return slots.run(lambda: Deferred.fromCoroutine(one.get(path, model)))
+
+    results = await gatherResults([ask(one) for one in asked])
     named = list(zip((item.id for item in listed), results, strict=True))
     return Ok(
         FleetAnswers(
--- a/packages/cli/src/sycamorenotch_cli/_messages.py
+++ b/packages/cli/src/sycamorenotch_cli/_messages.py
@@ -75,6 +75,14 @@
     violations: dict[str, int]
 
 
+class SpreadModel(BaseModel):
+    """Where a generation is in force, as one instance has heard."""
+
+    generation: int
+    in_force: tuple[str, ...]
+    missing: tuple[str, ...]
+
+
 class FactModel(BaseModel):
     """One input of a decision."""
 
--- a/packages/cli/src/sycamorenotch_cli/_waiting.py
+++ b/packages/cli/src/sycamorenotch_cli/_waiting.py
@@ -13,6 +13,7 @@
 from sycamorenotch_cli._commands import Invocation
 from sycamorenotch_cli._commands import Outcome
 from sycamorenotch_cli._fleet import ask_fleet
+from sycamorenotch_cli._messages import SpreadModel
 from sycamorenotch_cli._messages import StatusModel
 
 POLL_INTERVAL = timedelta(milliseconds=200)
@@ -60,6 +61,15 @@
 
 
 async def _spread(client: OperatorsClient, generation: int) -> Spread:
+    """Ask one instance, or all if it does not hear of the others."""
+    heard = await client.get(f"/v1/spread/{generation}", SpreadModel)
+    if heard.is_error():
+        return await _asked_spread(client, generation)
+    total = len(heard.ok.in_force) + len(heard.ok.missing)
+    return Spread(generation, total, heard.ok.missing)
+
+
+async def _asked_spread(client: OperatorsClient, generation: int) -> Spread:
     found = await ask_fleet(client, "/v1/status", StatusModel)
     if found.is_error():
         return Spread(generation, 1, (client.url,))
--- a/packages/daemon/src/sycamorenotch_daemon/_document_codec.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_document_codec.py
@@ -132,7 +132,10 @@
     try:
         model = _EnvelopeModel.model_validate_json(value)
     except ValidationError as exc:
-        raise InvalidEnvelopeError(f"malformed envelope: {exc.errors()[0]}") from None
+        # The input itself stays out of the message, which is logged.
+        first = exc.errors(include_input=False, include_context=False)[0]
+        place = ".".join(map(str, first["loc"])) or "envelope"
+        raise InvalidEnvelopeError(f"malformed {place}: {first['msg']}") from None
     fields: dict[str, Any] = dict(model)
     del fields["format"]
     fields["drains"] = tuple(Drain(**dict(item)) for item in model.drains)
--- a/testing/daemon/test_document_store.py
+++ b/testing/daemon/test_document_store.py
@@ -7,6 +7,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from twisted.internet import reactor
 
 from sycamorenotch_daemon import Node
@@ -116,3 +118,24 @@
         assert decode_document(value) == seen.document
 
     run_in_reactor(scenario())
+
+
+@given(st.one_of(st.binary(), st.text().map(lambda text: ("{" + text).encode())))
+def test_decode_raises_only_its_own_error_when_value_is_noise(value: bytes) -> None:
+    try:
+        found = decode_document(value)
+    except InvalidEnvelopeError:
+        return
+    assert found.text.encode() == value
+
+
+@given(st.integers(0, 400), st.binary(max_size=3))
+def test_decode_raises_only_its_own_error_when_envelope_is_damaged(
+    at: int, noise: bytes
+) -> None:
+    value = encode_document(StoredDocument("[environment]\n", "ana"))
+    damaged = value[:at] + noise + value[at + len(noise) :]
+    try:
+        decode_document(damaged)
+    except InvalidEnvelopeError as exc:
+        assert str(exc)
