Bound ejections by region and keep counts over a change of workers

Cause: half of a service's workers could be ejected from one region, a changed worker lost its requests in flight and then counted below zero, an even share counted leaving workers, and a caller whose attempts had failed was told that no worker was left. Change: each of these.

--- a/packages/daemon/src/sycamorenotch_daemon/_admission_stage.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_admission_stage.py
@@ -180,12 +180,15 @@
 
     def _even_share(self, service: str) -> int:
         """Return this instance's part of the slots that are near it."""
+        choice = self._upstreams.choice(service)
+        if choice is None:
+            return 0
         region = self._node.settings.region
-        workers = [w for w in self._upstreams.workers.values() if w.service == service]
-        near = [worker for worker in workers if worker.region == region]
+        near = choice.table.deployed_in(region)
         users = self._upstreams.live_instances(region if near else None)
-        slots = sum(worker.slots for worker in near or workers)
-        return max(min(1, slots), slots // users)
+        slots = choice.table.usable_slots(region if near else None)
+        # One slot stays, so that a service is never refused by the share alone.
+        return max(1, slots // users)
 
     def _resize(self, service: str, slots: int) -> None:
         if self._slots.get(service) == slots:
--- a/packages/daemon/src/sycamorenotch_daemon/_retry_stage.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_retry_stage.py
@@ -49,14 +49,20 @@
         rule = self._rule(call.route.service)
         rule.count_first_attempt()
         ran, number = Ran.NO, 1
+        last: Failure | None = None
         while True:
             result = await proceed(call)
             if result.is_ok():
                 return result
-            ran = _worse(ran, result.error.stated_ran)
-            decision = self._decide(call, rule, result.error, number)
+            failure = result.error
+            ran = _worse(ran, failure.stated_ran)
+            if last is not None and failure.kind is ErrorKind.NO_UPSTREAM:
+                # The caller learns why the attempts failed.
+                return Error(replace(last, ran=ran))
+            decision = self._decide(call, rule, failure, number)
             if isinstance(decision, GiveUp):
-                return Error(replace(result.error, ran=ran))
+                return Error(replace(failure, ran=ran))
+            last = failure
             if not await self._wait(decision.delay):
                 detail = "the caller went away between two attempts"
                 return Error(Failure(ErrorKind.CANCELLED, detail, ran))
--- a/packages/policies/src/sycamorenotch_policies/_worker_table.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_table.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from heapq import heappop
 from heapq import heappush
+from itertools import chain
 from random import Random
 from typing import final
 
@@ -85,7 +86,6 @@
         self._setup = setup
         self._usable: dict[str, _UsableWorkers] = {}
         self._ejected: list[tuple[timedelta, str]] = []
-        self._ejected_count = 0
         self._instances = max(1, setup.instances)
         self.states: dict[str, WorkerState] = {}
 
@@ -122,6 +122,16 @@
         """Return the number of usable workers in each region."""
         return {region: len(usable.items) for region, usable in self._usable.items()}
 
+    def deployed_in(self, region: str) -> bool:
+        """Return whether the service has a worker in a region."""
+        return any(state.worker.region == region for state in self.states.values())
+
+    def usable_slots(self, region: str | None) -> int:
+        """Return the slots of the usable workers of one or of every region."""
+        regions = self._usable if region is None else (region,)
+        usable = chain.from_iterable(map(self.usable, regions))
+        return sum(state.worker.slots for state in usable)
+
     def usable(self, region: str) -> list[WorkerState]:
         """Return the usable workers of a region; the list is not a copy."""
         found = self._usable.get(region)
@@ -150,7 +160,8 @@
     ) -> None:
         """Count the end of a request and eject or readmit the worker."""
         state = self.states.get(name)
-        if state is None:
+        # A worker that was removed and added again has forgotten its requests.
+        if state is None or not state.in_flight:
             return
         state.finish(latency, outcome, cause)
         if outcome is Outcome.SHED and state.contradicts_room(now):
@@ -192,7 +203,6 @@
             if state is None or state.ejected_until != until:
                 continue
             state.ejected_until = None
-            self._ejected_count -= 1
             if state.leaving_since is None:
                 state.probing = True
                 self._usable_of(state).add(state)
@@ -211,6 +221,7 @@
             bounds.cold_start,
         )
         state.cold_since = cold_since
+        state.in_flight = 0 if old is None else old.in_flight
         self.states[worker.name] = state
         self._usable_of(state).add(state)
 
@@ -222,8 +233,6 @@
 
     def _remove(self, state: WorkerState) -> None:
         self._usable_of(state).discard(state)
-        if state.ejected_until is not None:
-            self._ejected_count -= 1
 
     def _finish_probe(
         self, state: WorkerState, outcome: Outcome, now: timedelta
@@ -242,10 +251,12 @@
         self._setup.sink.emit(WorkerReadmitted(state.worker.name))
 
     def _eject(self, state: WorkerState, now: timedelta) -> None:
-        name, total = state.worker.name, len(self.states)
-        if self._ejected_count + 1 > total * EJECTED_SHARE:
+        name, region = state.worker.name, state.worker.region
+        deployed = [s for s in self.states.values() if s.worker.region == region]
+        ejected = sum(s.ejected_until is not None for s in deployed)
+        if ejected + 1 > len(deployed) * EJECTED_SHARE:
             state.failures_in_row = 0
-            self._setup.sink.emit(EjectionBounded(name, self._ejected_count, total))
+            self._setup.sink.emit(EjectionBounded(name, ejected, len(deployed)))
             return
         doublings = min(state.ejections, MAXIMUM_DOUBLINGS)
         period = min(EJECTION_LIMIT, EJECTION_BASE * 2**doublings)
@@ -253,7 +264,6 @@
         period *= 1 + self._setup.random.random() / 4
         state.ejected_until = now + period
         state.ejections += 1
-        self._ejected_count += 1
         self._usable_of(state).discard(state)
         heappush(self._ejected, (state.ejected_until, name))
         event = WorkerEjected(name, period.total_seconds(), state.failures_in_row)
--- a/testing/policies/test_choice.py
+++ b/testing/policies/test_choice.py
@@ -184,3 +184,28 @@
     choice.update(make_workers(3), START)
     choice.table.mark_leaving("west-1", START)
     assert set(draw(choice, 60)) == {"west-0", "west-2"}
+
+
+def test_ejections_are_bounded_in_each_region(choice_setup, make_workers, sink):
+    choice = TwoChoices(choice_setup)
+    choice.update(make_workers(2) + make_workers(14, "east"), START)
+    for name in ("west-0", "west-1"):
+        fail(choice, name, 3, START)
+    assert choice.table.regions()["west"] == 1
+
+
+def test_requests_in_flight_are_kept_when_a_worker_changes(choice, make_workers):
+    chosen = choice.choose(START).worker
+    choice.update(make_workers(8, connections=200), START)
+    state = choice.table.states[chosen.name]
+    assert state.in_flight == 1
+    choice.finish(chosen.name, USUAL, Outcome.ANSWERED, START)
+    assert state.in_flight == 0
+
+
+def test_finish_is_ignored_when_the_worker_was_removed_and_added(choice, make_workers):
+    chosen = choice.choose(START).worker
+    choice.update((), START)
+    choice.update(make_workers(8), START)
+    choice.finish(chosen.name, USUAL, Outcome.ANSWERED, START)
+    assert choice.table.states[chosen.name].in_flight == 0
