Run calls within the grants and along the routes of the plan

Cause: the holder wrote plans that nothing on the path of a call followed. Before a confirmed plan names the instance, the even share stays.

--- a/packages/policies/src/sycamorenotch_policies/_grant_holding.py
+++ b/packages/policies/src/sycamorenotch_policies/_grant_holding.py
@@ -27,6 +27,11 @@
         self._asked_at: timedelta | None = None
         self.sequence = -1
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether a holder has ever confirmed a plan to this process."""
+        return self._asked_at is not None
+
     def accept(self, plan: Plan) -> bool:
         """Put a newer plan's grants in force.
 
--- /dev/null
+++ b/testing/daemon/plan/test_plan_routing.py
@@ -0,0 +1,124 @@
+"""Tests of how calls follow the plan."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from datetime import UTC
+from datetime import datetime
+from datetime import timedelta
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from twisted.internet.task import Clock
+
+from sycamorenotch_daemon._admission_stage import Admission
+from sycamorenotch_daemon._plan_routing import PlanRouting
+from sycamorenotch_daemon._plan_view import PlanView
+from sycamorenotch_daemon._upstreams import Upstreams
+from sycamorenotch_documents import parse_environment
+from sycamorenotch_kernel import Grant
+from sycamorenotch_kernel import InstanceId
+from sycamorenotch_kernel import ManualClock
+from sycamorenotch_kernel import Plan
+from sycamorenotch_kernel import PlanRoute
+from sycamorenotch_kernel import Rank
+from sycamorenotch_kernel import RegionShare
+from sycamorenotch_policies import GrantHolding
+
+EXAMPLE = Path(__file__).parents[3] / "examples" / "vatukoula.ini"
+ENVIRONMENT = parse_environment(EXAMPLE.read_text())
+ME = InstanceId("entry-0")
+LOAN_LIFE = timedelta(seconds=5)
+SHARES = (RegionShare("vanua", 0.2), RegionShare("viti-west", 0.8))
+
+
+class Recorder:
+    """Stands for admission, upstreams and the table of a choice."""
+
+    def __init__(self) -> None:
+        self.grants: dict[str, int] = {}
+        self.regions: dict[str, Mapping[str, float]] = {}
+        self.quotas: dict[str, int] = {}
+        self.table = self
+
+    def set_grant(self, service: str, slots: int) -> None:
+        self.grants[service] = slots
+
+    def set_regions(self, service: str, weights: Mapping[str, float]) -> None:
+        self.regions[service] = weights
+
+    def choice(self, service: str) -> Recorder:
+        return self
+
+    def set_quotas(self, region: str, quotas: Mapping[str, int]) -> None:
+        self.quotas[region] = sum(quotas.values())
+
+
+def grant(region: str, floor: int, loan: int) -> Grant:
+    return Grant(ME, region, "balance", floor, loan, LOAN_LIFE)
+
+
+@pytest.fixture
+def recorder() -> Recorder:
+    return Recorder()
+
+
+@pytest.fixture
+def holding() -> GrantHolding:
+    return GrantHolding(ME)
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock()
+
+
+@pytest.fixture
+def routing(recorder: Recorder, holding: GrantHolding, clock: ManualClock) -> Any:
+    route = PlanRoute("balance", "viti-west", Rank.STANDARD, SHARES)
+    grants = (grant("viti-west", 4, 2), grant("vanua", 1, 1))
+    made_at = datetime(2026, 1, 1, tzinfo=UTC)
+    plan = Plan(1, 3, made_at, ME, (route,), grants)
+    holding.accept(plan)
+    services = {
+        Admission: recorder,
+        Upstreams: recorder,
+        GrantHolding: holding,
+        PlanView: SimpleNamespace(plan=lambda: plan),
+    }
+    node = SimpleNamespace(
+        require=services.__getitem__,
+        reactor=Clock(),
+        clock=clock,
+        settings=SimpleNamespace(instance=ME, region="viti-west"),
+        configuration=SimpleNamespace(current=SimpleNamespace(environment=ENVIRONMENT)),
+    )
+    return PlanRouting(node)
+
+
+def test_calls_follow_grants_and_routes_when_plan_is_confirmed(
+    routing: Any, recorder: Recorder, holding: GrantHolding, clock: ManualClock
+) -> None:
+    holding.confirm(3, clock.monotonic())
+    routing._follow()
+    assert recorder.grants == {"balance": 8}
+    assert recorder.regions == {"balance": {"viti-west": 0.8, "vanua": 0.2}}
+    assert recorder.quotas == {"viti-west": 6, "vanua": 2}
+
+
+def test_only_floors_are_used_when_loans_lapsed(
+    routing: Any, recorder: Recorder, holding: GrantHolding, clock: ManualClock
+) -> None:
+    holding.confirm(3, clock.monotonic())
+    clock.advance(LOAN_LIFE)
+    routing._follow()
+    assert recorder.grants == {"balance": 5}
+
+
+def test_nothing_changes_when_no_plan_was_confirmed(
+    routing: Any, recorder: Recorder
+) -> None:
+    routing._follow()
+    assert recorder.grants == {}
