--- a/packages/workbench/src/sycamorenotch_workbench/_bench_run.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_bench_run.py
@@ -138,7 +138,11 @@
 
     def _next_arrival(self, route: Route, source: int) -> None:
         rate = route_rate(self._environment, self._scenario, route, self._time.now_s)
-        delay_s = self._random.expovariate(rate * SOURCE_SHARES[source])
+        shares = SOURCE_SHARES
+        if self._scenario.lagging and self._time.now_s >= FAULT_AT_S:
+            # The load moves while the measurements still show the old one.
+            shares = SOURCE_SHARES[::-1]
+        delay_s = self._random.expovariate(rate * shares[source])
         if self._time.now_s + delay_s < self._scenario.duration_s:
             self._time.after(delay_s, lambda: self._arrive(route, source))
 
