--- a/packages/daemon/src/sycamorenotch_daemon/_plan_asker.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_plan_asker.py
@@ -15,6 +15,7 @@
 from sycamorenotch_daemon._plan_messages import PlanConfirmation
 from sycamorenotch_daemon._plan_messages import PlanQuestion
 from sycamorenotch_daemon._plan_watch import PlanWatch
+from sycamorenotch_daemon._worker_news import news_of_workers
 from sycamorenotch_kernel import InstanceId
 from sycamorenotch_kernel import Plan
 from sycamorenotch_kernel import components
@@ -71,7 +72,12 @@
         self._question += 1
         self._asked_at = now
         demands = self._node.require(DemandCounter).report(now)
-        question = PlanQuestion(self._question, self._holding.sequence, demands)
+        question = PlanQuestion(
+            self._question,
+            self._holding.sequence,
+            demands,
+            news_of_workers(self._node),
+        )
         if holder != self._me:
             self._mesh.send(holder, question)
             return
@@ -82,7 +88,7 @@
     def _answer(
         self, instance: InstanceId, question: PlanQuestion
     ) -> PlanConfirmation | None:
-        self._holder.take_demands(instance, question.demands)
+        self._holder.take_measurements(instance, question)
         if not self._holder.confirms(instance, question.sequence):
             return None
         return PlanConfirmation(question.question, question.sequence)
--- a/packages/daemon/src/sycamorenotch_daemon/_plan_holder.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_plan_holder.py
@@ -19,8 +19,9 @@
 from sycamorenotch_daemon._plan_events import PlanLeaseLapsed
 from sycamorenotch_daemon._plan_events import PlanNotWritten
 from sycamorenotch_daemon._plan_events import PlanWritten
-from sycamorenotch_daemon._plan_messages import DemandReport
+from sycamorenotch_daemon._plan_messages import PlanQuestion
 from sycamorenotch_daemon._plan_watch import PlanWatch
+from sycamorenotch_daemon._worker_news import FleetWorkers
 from sycamorenotch_kernel import DecisionKind
 from sycamorenotch_kernel import DecisionRecord
 from sycamorenotch_kernel import DrainKind
@@ -57,6 +58,7 @@
         self._written_term: int | None = None
         self._contacts = PlanContacts(timedelta())
         self._demands = FleetDemand()
+        self._workers = FleetWorkers()
         # Whether the store is known to hold the plan that is in force here.
         self._settled = False
         node.provide(PlanHolder, self)
@@ -70,11 +72,11 @@
         """Stop making plans."""
         self._loop.stop()
 
-    def take_demands(
-        self, instance: InstanceId, demands: tuple[DemandReport, ...]
-    ) -> None:
-        """Take in the requests that reached an instance."""
-        self._demands.report(instance, demands, self._node.clock.monotonic())
+    def take_measurements(self, instance: InstanceId, question: PlanQuestion) -> None:
+        """Take in what an instance measured."""
+        now = self._node.clock.monotonic()
+        self._demands.report(instance, question.demands, now)
+        self._workers.report(instance, question.workers, now)
 
     def confirms(self, instance: InstanceId, sequence: int) -> bool:
         """Return whether the plan of an instance is the one in force.
@@ -141,6 +143,7 @@
             instances=instances,
             contacts=self._contacts.update(listed, holding, now),
             demands=self._demands.total(current.environment, listed, now),
+            workers=self._workers.reports(listed, now),
             drained=self._drained_regions(current),
         )
 
--- a/packages/daemon/src/sycamorenotch_daemon/_plan_messages.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_plan_messages.py
@@ -25,6 +25,24 @@
     rate: int
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class WorkerNews:
+    """What the sender knows of an upstream worker near it.
+
+    :param load: thousandths of its slots in use by its own report; -1 if it
+        has not reported.
+    :param age: age of that report, in milliseconds.
+    :param failures: thousandths of the sender's requests that failed.
+    """
+
+    worker: str
+    usable: bool
+    load: int
+    age: int
+    failures: int
+
+
 @message(30, "plan.question")
 @final
 @dataclass(frozen=True, slots=True)
@@ -34,11 +52,13 @@
     :param question: number of the question, returned with the answer.
     :param sequence: plan in force at the sender.
     :param demands: requests that reached it; what is left out did not occur.
+    :param workers: news of the workers in its region.
     """
 
     question: int
     sequence: int
     demands: tuple[DemandReport, ...] = ()
+    workers: tuple[WorkerNews, ...] = ()
 
 
 @message(31, "plan.confirmation")
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -102,6 +102,7 @@
 from sycamorenotch_policies._steering_view import SteeringView
 from sycamorenotch_policies._steering_view import WorkerReport
 from sycamorenotch_policies._worker_state import LoadReport
+from sycamorenotch_policies._worker_state import WorkerState
 from sycamorenotch_policies._worker_table import ChoiceSetup
 from sycamorenotch_policies._worker_table import WorkerTable
 
@@ -194,6 +195,7 @@
     "WaitForClaim",
     "WindowedCounts",
     "WorkerReport",
+    "WorkerState",
     "WorkerTable",
     "WriteClaim",
     "WriteLease",
--- a/packages/policies/src/sycamorenotch_policies/_worker_state.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_state.py
@@ -73,6 +73,16 @@
         self._stale_after = stale_after
         self._cold_start = cold_start
 
+    @property
+    def report(self) -> LoadReport | None:
+        """The last load report, if there is one."""
+        return self._report
+
+    @property
+    def failure_share(self) -> float:
+        """Moving average of the share of requests that failed."""
+        return self._failure_share
+
     @property
     def is_usable(self) -> bool:
         """Whether the worker may get new work at all."""
