Assert I1 and I2 on a plan before it is written

Nothing outside of the policy checked what it decided. The holder now refuses to write a plan whose new moves exceed the shift cap, or whose grants exceed the slots of a region's workers; the plan in force stays.

--- a/packages/daemon/src/sycamorenotch_daemon/_plan_holder.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_plan_holder.py
@@ -28,9 +28,13 @@
 from sycamorenotch_kernel import Drains
 from sycamorenotch_kernel import Fact
 from sycamorenotch_kernel import InstanceId
+from sycamorenotch_kernel import Invariant
+from sycamorenotch_kernel import Plan
 from sycamorenotch_kernel import components
 from sycamorenotch_policies import PlanDecision
 from sycamorenotch_policies import SteeringView
+from sycamorenotch_policies import excess_grants
+from sycamorenotch_policies import excess_shifts
 from sycamorenotch_policies import make_plan
 
 PLAN_INTERVAL = timedelta(seconds=2)
@@ -116,9 +120,18 @@
         decision = make_plan(view, previous, self._node.clock.now())
         for event in decision.events:
             self._node.sink.emit(event)
-        if decision.changed or self._written_term != self._term:
+        needed = decision.changed or self._written_term != self._term
+        if needed and self._holds(decision.plan, previous, current):
             await self._write(decision)
 
+    def _holds(self, plan: Plan, previous: Plan | None, current: InForce) -> bool:
+        """Assert the invariants of a plan before it is written."""
+        environment, invariants = current.environment, self._node.invariants
+        shifts = excess_shifts(plan, previous, environment)
+        grants = excess_grants(plan, previous, environment)
+        capped = invariants.holds(Invariant.I1, not shifts, "; ".join(shifts))
+        return invariants.holds(Invariant.I2, not grants, "; ".join(grants)) and capped
+
     def _begin_term(self) -> None:
         if self._term != self._lease.term:
             self._contacts = PlanContacts(self._node.clock.monotonic())
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -78,6 +78,8 @@
 from sycamorenotch_policies._membership import PeerNews
 from sycamorenotch_policies._membership import Transition
 from sycamorenotch_policies._outcomes import Outcome
+from sycamorenotch_policies._plan_checks import excess_grants
+from sycamorenotch_policies._plan_checks import excess_shifts
 from sycamorenotch_policies._quarantine import Quarantine
 from sycamorenotch_policies._quarantine import Signature
 from sycamorenotch_policies._quarantine import Strike
@@ -201,6 +203,8 @@
     "WriteLease",
     "apportion",
     "assess",
+    "excess_grants",
+    "excess_shifts",
     "fingerprint",
     "lease_candidates",
     "make_plan",
--- /dev/null
+++ b/packages/policies/src/sycamorenotch_policies/_plan_checks.py
@@ -0,0 +1,69 @@
+"""Checks of a plan that do not rely on the policy that made it."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from sycamorenotch_kernel import Environment
+from sycamorenotch_kernel import Grant
+from sycamorenotch_kernel import Plan
+
+SHARE_TOLERANCE = 1e-9
+
+
+def excess_shifts(
+    plan: Plan, previous: Plan | None, environment: Environment
+) -> tuple[str, ...]:
+    """Return the services whose new moves exceed the shift cap.
+
+    Moves that an earlier plan made under a larger cap are not held against a
+    plan that adds none.
+
+    :param previous: the plan that the ledger continues.
+    """
+    known = frozenset(() if previous is None else previous.shifts)
+    moved: defaultdict[str, float] = defaultdict(float)
+    for shift in plan.shifts:
+        moved[shift.service] += shift.share
+    grown = {shift.service for shift in plan.shifts if shift not in known}
+    cap = environment.shift.cap + SHARE_TOLERANCE
+    return tuple(
+        f"{service}: {moved[service]:.4f} of {environment.shift.cap}"
+        for service in sorted(grown)
+        if moved[service] > cap
+    )
+
+
+def excess_grants(
+    plan: Plan, previous: Plan | None, environment: Environment
+) -> tuple[str, ...]:
+    """Return the regions and services whose grants exceed the workers' slots.
+
+    Grants that a change of the document left too large may stay as large as
+    they were until they have been taken back.
+    """
+    before = _totals(() if previous is None else previous.grants)
+    slots: defaultdict[tuple[str, str], int] = defaultdict(int)
+    for worker in environment.workers.values():
+        slots[worker.region, worker.service] += worker.slots
+    return tuple(_excess(_totals(plan.grants), before, slots))
+
+
+def _totals(grants: Iterable[Grant]) -> dict[tuple[str, str], int]:
+    totals: defaultdict[tuple[str, str], int] = defaultdict(int)
+    for grant in grants:
+        totals[grant.region, grant.service] += grant.floor + grant.loan
+    return dict(totals)
+
+
+def _excess(
+    totals: dict[tuple[str, str], int],
+    before: dict[tuple[str, str], int],
+    slots: dict[tuple[str, str], int],
+) -> Iterator[str]:
+    for (region, service), total in sorted(totals.items()):
+        usable = slots.get((region, service), 0)
+        if total > max(usable, before.get((region, service), 0)):
+            yield f"{service} in {region}: {total} of {usable} slots"
--- a/testing/daemon/plan/test_plan_holder.py
+++ b/testing/daemon/plan/test_plan_holder.py
@@ -9,6 +9,7 @@
 import msgpack
 import pytest
 
+from sycamorenotch_daemon import _plan_holder as plan_holder
 from sycamorenotch_daemon._plan_codec import PLAN_KIND
 from sycamorenotch_daemon._plan_codec import StoredPlan
 from sycamorenotch_daemon._plan_codec import decode_plan
@@ -159,3 +160,22 @@
     fleet.pass_time(0.5)
     assert fleet.instances[0].watch.plan() == plan
     assert fleet.instances[0].events("plan.invalid")
+
+
+def test_plan_is_not_written_when_it_breaks_an_invariant(
+    fleet: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fleet.pass_time(15)
+    before = fleet.table.get(PLAN_KIND, "production").ok
+    real = plan_holder.make_plan
+
+    def overcommit(view: Any, previous: Any, now: Any) -> Any:
+        decision = real(view, previous, now)
+        grants = tuple(replace(g, floor=g.floor + 1000) for g in decision.plan.grants)
+        return replace(decision, plan=replace(decision.plan, grants=grants))
+
+    monkeypatch.setattr(plan_holder, "make_plan", overcommit)
+    fleet.holder().configure(2)
+    fleet.pass_time(1)
+    assert fleet.holder().events("invariant.violated")
+    assert fleet.table.get(PLAN_KIND, "production").ok == before
