Report a lasting condition of steering once

Cause: the holder emitted the same events 3301 to 3307 with every plan, nine of them every two seconds while no worker was reported. Change: an event that the last plan already had is not emitted again. Conclusion: a test over 60 virtual seconds finds each event once.

--- a/packages/daemon/src/sycamorenotch_daemon/_plan_holder.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_plan_holder.py
@@ -26,6 +26,7 @@
 from sycamorenotch_kernel import DecisionRecord
 from sycamorenotch_kernel import DrainKind
 from sycamorenotch_kernel import Drains
+from sycamorenotch_kernel import Event
 from sycamorenotch_kernel import Fact
 from sycamorenotch_kernel import InstanceId
 from sycamorenotch_kernel import Invariant
@@ -63,6 +64,7 @@
         self._contacts = PlanContacts(timedelta())
         self._demands = FleetDemand()
         self._workers = FleetWorkers()
+        self._reported: frozenset[Event] = frozenset()
         # Whether the store is known to hold the plan that is in force here.
         self._settled = False
         node.provide(PlanHolder, self)
@@ -118,8 +120,11 @@
         previous = self._watch.plan()
         view = self._view(current)
         decision = make_plan(view, previous, self._node.clock.now())
+        # A condition that lasts is reported once and not with every plan.
         for event in decision.events:
-            self._node.sink.emit(event)
+            if event not in self._reported:
+                self._node.sink.emit(event)
+        self._reported = frozenset(decision.events)
         needed = decision.changed or self._written_term != self._term
         if needed and self._holds(decision.plan, previous, current):
             await self._write(decision)
--- a/testing/daemon/plan/test_plan_holder.py
+++ b/testing/daemon/plan/test_plan_holder.py
@@ -179,3 +179,12 @@
     fleet.pass_time(1)
     assert fleet.holder().events("invariant.violated")
     assert fleet.table.get(PLAN_KIND, "production").ok == before
+
+
+def test_lasting_condition_is_reported_once_when_plans_are_made_again(
+    fleet: Any,
+) -> None:
+    fleet.pass_time(60)
+    reported = fleet.holder().events("steering.measurement-missing")
+    assert reported
+    assert len(set(reported)) == len(reported)
