--- a/packages/daemon/src/sycamorenotch_daemon/_configuration.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_configuration.py
@@ -28,6 +28,7 @@
 from sycamorenotch_kernel import ConfigurationPush
 from sycamorenotch_kernel import ConfigurationRequest
 from sycamorenotch_kernel import Heartbeat
+from sycamorenotch_kernel import InstanceId
 from sycamorenotch_kernel import StoredObject
 from sycamorenotch_kernel import StoreError
 from sycamorenotch_kernel import StoreFault
@@ -66,12 +67,14 @@
         self._fleet = node.require(FleetMembership)
         self._history = ConfigurationHistory()
         self._confirmation = Confirmation()
+        self._pushed: dict[InstanceId, int] = {}
         self._requested_at = -REQUEST_INTERVAL
         self._stopped = False
         self._loop: Deferred[None] | None = None
         self._mesh.handle(Heartbeat, self._on_heartbeat)
         self._mesh.handle(ConfigurationRequest, self._on_request)
         self._mesh.handle(ConfigurationPush, self._on_push)
+        self._mesh.observe(lambda peer: self._pushed.pop(peer.instance, None))
         node.provide(Readiness, self)  # type: ignore[type-abstract]
 
     async def start(self) -> None:
@@ -140,11 +143,12 @@
         known = {m.instance: m.generation for m in self._fleet.members()}
         centre = self._node.settings.data_centre
         for peer in self._mesh.connected():
-            base = known.get(peer.instance, 0)
+            sent = self._pushed.get(peer.instance, 0)
+            base = max(sent, known.get(peer.instance, 0))
             if peer.data_centre == centre and base < generation:
                 push = self._history.push_to(base)
-                if push is not None:
-                    self._mesh.send(peer.instance, push)
+                if push is not None and self._mesh.send(peer.instance, push):
+                    self._pushed[peer.instance] = generation
 
     def _on_heartbeat(self, peer: PeerIdentity, message: Heartbeat) -> None:
         self._confirmation.peer_stated(peer.instance, message.generation)
--- a/packages/daemon/src/sycamorenotch_daemon/_membership.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_membership.py
@@ -55,6 +55,9 @@
         self._successor: InstanceId | None = None
         self._contacts: tuple[InstanceId, ...] = ()
         self._watchers: tuple[InstanceId, ...] = ()
+        self._aims: dict[InstanceId, str] = {}
+        self._changed = False
+        self._kept: dict[str, InstanceId] = {}
         self._loop = LoopingCall(self._on_round)
         self._loop.clock = node.reactor
         self._mesh.handle(Heartbeat, self._on_heartbeat)
@@ -78,6 +81,7 @@
         self._listed = {entry.id: entry for entry in listed}
         self._report(self._members.list_is(self._listed.values(), self._now()))
         self._choose()
+        self._mesh.aim(self._aims)
 
     def usable(self, instance: InstanceId) -> bool:
         """Return whether an instance may be given work or a role."""
@@ -87,6 +91,16 @@
         """Return whether an instance announced its stop."""
         return self._members.is_leaving(instance)
 
+    def keep(self, purpose: str, instance: InstanceId) -> None:
+        """Keep a stream to an instance, such as the holder of the plan.
+
+        :param purpose: a later call with the same purpose replaces the instance.
+        """
+        if self._kept.get(purpose) != instance:
+            self._kept[purpose] = instance
+            self._choose()
+            self._mesh.aim(self._aims)
+
     def watchers(self) -> tuple[InstanceId, ...]:
         """Return the watchers of this daemon's data centre."""
         return self._watchers
@@ -147,7 +161,9 @@
     def _on_round(self) -> None:
         self._round += 1
         self._report(self._members.tick(self._now()))
-        self._choose()
+        if self._changed:
+            self._choose()
+        self._mesh.aim(self._aims)
         targets = {self._successor} if self._successor else set()
         if self._round % CONTACT_ROUNDS == 0:
             targets.update(self._contacts)
@@ -168,7 +184,9 @@
         chosen = {*self._watchers, *self._contacts, self._successor} - {self._me}
         observed = {i for i in chosen if i is not None}
         self._members.release(observed)
-        self._mesh.aim({i: self._listed[i].peers for i in observed})
+        wanted = observed | {i for i in self._kept.values() if i != self._me}
+        self._aims = {i: self._listed[i].peers for i in wanted if i in self._listed}
+        self._changed = False
 
     def _on_heartbeat(self, peer: PeerIdentity, message: Heartbeat) -> None:
         now = self._now()
@@ -194,6 +212,7 @@
 
     def _report(self, transitions: Iterable[Transition]) -> None:
         for item in transitions:
+            self._changed = True
             self._node.sink.emit(
                 MemberChanged(item.instance, item.state.value, item.incarnation)
             )
--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -65,6 +65,7 @@
 from sycamorenotch_kernel._messages import ListingRequest
 from sycamorenotch_kernel._messages import MemberState
 from sycamorenotch_kernel._messages import Message
+from sycamorenotch_kernel._messages import Piece
 from sycamorenotch_kernel._messages import Rumour
 from sycamorenotch_kernel._messages import message
 from sycamorenotch_kernel._plan import Grant
@@ -175,6 +176,7 @@
     "Message",
     "Objective",
     "OutstandingGrant",
+    "Piece",
     "Plan",
     "PlanRoute",
     "Proceed",
--- a/packages/kernel/src/sycamorenotch_kernel/_messages.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_messages.py
@@ -84,24 +84,34 @@
     rumours: tuple[Rumour, ...] = ()
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Piece:
+    """A part of a text: new bytes, then bytes copied from an older text.
+
+    :param offset: place in the older text from which bytes are copied.
+    :param length: number of bytes that are copied.
+    """
+
+    new: bytes
+    offset: int
+    length: int
+
+
 @message(2, "configuration.push")
 @final
 @dataclass(frozen=True, slots=True)
 class ConfigurationPush(Message):
-    """A configuration, whole or as the part that differs from an older one.
+    """A configuration, whole or as its differences from an older one.
 
     :param digest: digest of the whole text.
-    :param base: generation of the older text; 0 if the middle is the whole.
-    :param prefix: bytes taken from the start of the older text.
-    :param suffix: bytes taken from the end of the older text.
+    :param base: generation of the older text; 0 if nothing is copied.
     """
 
     generation: int
     digest: bytes
     base: int
-    prefix: int
-    suffix: int
-    middle: bytes
+    pieces: tuple[Piece, ...]
 
 
 @message(3, "configuration.request")
--- a/packages/policies/src/sycamorenotch_policies/_distribution.py
+++ b/packages/policies/src/sycamorenotch_policies/_distribution.py
@@ -8,9 +8,10 @@
 from typing import final
 
 from sycamorenotch_kernel import ConfigurationPush
+from sycamorenotch_policies._difference import apply_difference
+from sycamorenotch_policies._difference import difference
 
 HISTORY = 4
-COMPARED_BYTES = 4096
 
 
 @final
@@ -58,12 +59,13 @@
         if newest is None or newest.generation <= generation:
             return None
         base = self._texts.get(generation)
-        if base is None:
-            return _push(newest, 0, 0, 0)
-        prefix = _common(base.text, newest.text)
-        rest = min(len(base.text), len(newest.text)) - prefix
-        suffix = min(rest, _common(base.text[::-1], newest.text[::-1]))
-        return _push(newest, base.generation, prefix, suffix)
+        older = b"" if base is None else base.text
+        return ConfigurationPush(
+            newest.generation,
+            newest.digest,
+            0 if base is None else base.generation,
+            difference(older, newest.text),
+        )
 
     def text_of(self, push: ConfigurationPush) -> ConfigurationText | None:
         """Return the pushed text, or none if its base is missing or it is damaged."""
@@ -73,38 +75,11 @@
             if known is None:
                 return None
             base = known.text
-        tail = base[len(base) - push.suffix :] if push.suffix else b""
-        text = base[: push.prefix] + push.middle + tail
+        text = apply_difference(base, push.pieces)
         made = ConfigurationText.of(push.generation, text)
         return made if made.digest == push.digest else None
 
 
-def _push(
-    newest: ConfigurationText, base: int, prefix: int, suffix: int
-) -> ConfigurationPush:
-    middle = newest.text[prefix : len(newest.text) - suffix]
-    return ConfigurationPush(
-        newest.generation, newest.digest, base, prefix, suffix, middle
-    )
-
-
-def _common(first: bytes, second: bytes) -> int:
-    """Return the length of the common start of two texts."""
-    shortest = min(len(first), len(second))
-    start = 0
-    while start < shortest:
-        end = min(start + COMPARED_BYTES, shortest)
-        if first[start:end] != second[start:end]:
-            return start + _common_bytes(first[start:end], second[start:end])
-        start = end
-    return shortest
-
-
-def _common_bytes(first: bytes, second: bytes) -> int:
-    pairs = zip(first, second, strict=True)
-    return next(index for index, (a, b) in enumerate(pairs) if a != b)
-
-
 @final
 class Confirmation:
     """Decides when a configuration that came from peers may be served.
--- a/packages/policies/src/sycamorenotch_policies/_membership.py
+++ b/packages/policies/src/sycamorenotch_policies/_membership.py
@@ -138,6 +138,8 @@
         self.incarnation = incarnation
         self._members: dict[InstanceId, _Member] = {}
         self._news: dict[InstanceId, int] = {}
+        # Only these need a look at each tick, whatever the size of the fleet.
+        self._doubtful: set[InstanceId] = set()
         self._cursor = 0
 
     def list_is(
@@ -152,6 +154,8 @@
             member.region, member.data_centre = entry.region, entry.data_centre
         for member in self._members.values():
             member.listed = member.instance in entries
+            if not member.listed:
+                self._doubtful.add(member.instance)
         return self.tick(now)
 
     def heard(self, news: PeerNews, now: timedelta) -> tuple[Transition, ...]:
@@ -198,6 +202,7 @@
         member = self._members.get(instance)
         if member is not None and member.asked is None:
             member.asked = now
+            self._doubtful.add(instance)
 
     def release(self, observed: Iterable[InstanceId]) -> None:
         """Expect no answer from instances that are not observed any more."""
@@ -209,11 +214,14 @@
     def tick(self, now: timedelta) -> tuple[Transition, ...]:
         """Suspect who does not answer, give up who does not refute."""
         changes: list[Transition] = []
-        for member in tuple(self._members.values()):
+        for member in [self._members[instance] for instance in self._doubtful]:
             changes += self._tick(member, now)
             if not member.listed and self._forgettable(member, now):
                 del self._members[member.instance]
                 self._news.pop(member.instance, None)
+                self._doubtful.discard(member.instance)
+            elif self._is_settled(member):
+                self._doubtful.discard(member.instance)
         return tuple(changes)
 
     def rumours(self) -> tuple[Rumour, ...]:
@@ -259,6 +267,7 @@
         return dead >= CUT_OFF_LEAST and dead > CUT_OFF_SHARE * listed
 
     def _add(self, instance: InstanceId, now: timedelta) -> _Member:
+        self._doubtful.add(instance)
         return self._members.setdefault(instance, _Member(instance, since=now))
 
     def _tick(self, member: _Member, now: timedelta) -> tuple[Transition, ...]:
@@ -270,6 +279,10 @@
             return self._enter(member, MemberState.GONE, now)
         return ()
 
+    def _is_settled(self, member: _Member) -> bool:
+        suspect = member.state is MemberState.SUSPECT
+        return member.listed and member.asked is None and not suspect
+
     def _forgettable(self, member: _Member, now: timedelta) -> bool:
         heard = member.since if member.heard is None else member.heard
         return now - max(heard, member.since) >= FORGET_AFTER
@@ -279,6 +292,7 @@
     ) -> tuple[Transition, ...]:
         if not member.enter(state, now):
             return ()
+        self._doubtful.add(member.instance)
         # Each piece of news is passed on a number of times that grows with
         # the logarithm of the fleet, so that it reaches everyone.
         self._news[member.instance] = 2 * len(self._members).bit_length()
--- a/packages/workbench/src/sycamorenotch_workbench/_fleet.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_fleet.py
@@ -20,6 +20,7 @@
 from sycamorenotch_kernel import InstanceId
 from sycamorenotch_standins import ObjectTable
 from sycamorenotch_standins import StoreApi
+from sycamorenotch_workbench._control import CONTROL
 from sycamorenotch_workbench._control import ENVIRONMENT
 from sycamorenotch_workbench._control import ControlDaemon
 from sycamorenotch_workbench._control import control_daemon
@@ -69,6 +70,7 @@
     :param regions: number of regions, of two data centres each.
     :param over_http: whether the daemons reach the store over HTTP.
     :param alone: whether each daemon knows no other, the baseline.
+    :param names: components of each daemon.
     """
 
     def __init__(
@@ -79,7 +81,9 @@
         regions: int = 3,
         over_http: bool = False,
         alone: bool = False,
+        names: Sequence[str] = CONTROL,
     ) -> None:
+        self._names = names
         self._reactor = reactor
         self._over_http = over_http
         self._alone = alone
@@ -115,7 +119,13 @@
         name, place, port = slot
         adapter = HttpStore(self._url, self._reactor) if self._over_http else None
         daemon = control_daemon(
-            self._reactor, self.table, name, place, port, adapter=adapter
+            self._reactor,
+            self.table,
+            name,
+            place,
+            port,
+            adapter=adapter,
+            names=self._names,
         )
         self.daemons[name] = daemon
         return daemon
--- /dev/null
+++ b/packages/workbench/src/sycamorenotch_workbench/_slopes_blocks.py
@@ -0,0 +1,57 @@
+"""Slopes of client blocks: memory, look-up and change."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from ipaddress import IPv4Address
+from ipaddress import IPv4Network
+from random import Random
+
+from sycamorenotch_policies import BlockTable
+from sycamorenotch_workbench._slopes_common import microseconds
+from sycamorenotch_workbench._slopes_common import resident_bytes
+
+BLOCKS = (4_100, 41_000, 410_000)
+SITES = 490
+LOOKUPS = 20_000
+FIRST_ADDRESS = int(IPv4Address("11.0.0.0"))
+BLOCK_ADDRESSES = 256
+PREFIX = 24
+
+
+def measure_blocks() -> Iterator[str]:
+    """Yield one line for each number of blocks."""
+    random = Random(1)
+    for count in BLOCKS:
+        yield _measure(count, random)
+
+
+def _blocks(count: int) -> Iterator[tuple[IPv4Network, int]]:
+    for index in range(count):
+        first = FIRST_ADDRESS + index * BLOCK_ADDRESSES
+        yield IPv4Network((first, PREFIX)), index % SITES
+
+
+def _measure(count: int, random: Random) -> str:
+    before = resident_bytes()
+    start = time.process_time()
+    table = BlockTable(_blocks(count))
+    build_s = time.process_time() - start
+    held = resident_bytes() - before
+    arrays = sum(
+        value.itemsize * len(value)
+        for value in vars(table).values()
+        if hasattr(value, "itemsize")
+    )
+    span = count * BLOCK_ADDRESSES
+    clients = [
+        IPv4Address(FIRST_ADDRESS + random.randrange(span)) for _ in range(LOOKUPS)
+    ]
+    each = iter(clients)
+    lookup_us = microseconds(lambda: table.find(next(each)), LOOKUPS)
+    return (
+        f"blocks {count:>7}  sites {SITES}  bytes/block {arrays / count:5.1f}"
+        f"  resident {held / 2**20:6.1f} MiB  look-up {lookup_us:5.2f} us"
+        f"  build {build_s:6.2f} s ({build_s / count * 1e6:4.1f} us/block)"
+    )
--- /dev/null
+++ b/packages/workbench/src/sycamorenotch_workbench/_slopes_messages.py
@@ -0,0 +1,74 @@
+"""Bytes and processor time of messages and of a change."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from sycamorenotch_daemon._document_codec import decode_document
+from sycamorenotch_daemon._peer_codec import decode_message
+from sycamorenotch_daemon._peer_codec import encode_message
+from sycamorenotch_documents import parse_environment
+from sycamorenotch_kernel import Heartbeat
+from sycamorenotch_kernel import InstanceId
+from sycamorenotch_kernel import ListingPush
+from sycamorenotch_kernel import MemberState
+from sycamorenotch_kernel import Rumour
+from sycamorenotch_policies import ConfigurationHistory
+from sycamorenotch_policies import ConfigurationText
+from sycamorenotch_workbench._example import EXAMPLES
+from sycamorenotch_workbench._slopes_common import microseconds
+from sycamorenotch_workbench._slopes_memory import fleet_entries
+
+INCARNATION = 1_800_000_000_000
+EXTRA_BLOCKS = (0, 500, 2_000)
+ANCHOR = "client_blocks = 127.0.0.0/8,"
+
+
+def measure_messages() -> Iterator[str]:
+    """Yield lines for heartbeats, lists and configurations."""
+    yield from map(_heartbeat, (0, 2, 6))
+    for count in (140, 700, 1_400):
+        entries = fleet_entries(count)
+        whole = len(encode_message(ListingPush(b"", b"x" * 8, entries)))
+        change = len(encode_message(ListingPush(b"x" * 8, b"x" * 8, entries[:1])))
+        yield f"list of {count:>5}  whole {whole} B  one change {change} B"
+    yield from map(_change, EXTRA_BLOCKS)
+
+
+def _heartbeat(rumours: int) -> str:
+    news = tuple(
+        Rumour(InstanceId(f"entry-{i:04d}"), INCARNATION, MemberState.LIVE, 123_456)
+        for i in range(rumours)
+    )
+    message = Heartbeat(True, INCARNATION, False, 123_456, b"x" * 8, news)
+    frame = encode_message(message)
+    out_us = microseconds(lambda: encode_message(message), 2000)
+    in_us = microseconds(lambda: decode_message(frame), 2000)
+    return (
+        f"heartbeat with {rumours} rumours  {len(frame) + 4} B"
+        f"  encode {out_us:5.1f} us  decode {in_us:5.1f} us"
+    )
+
+
+def _change(extra_blocks: int) -> str:
+    text = (EXAMPLES / "vatukoula.ini").read_text()
+    blocks = "".join(f" 11.{i // 256}.{i % 256}.0/24," for i in range(extra_blocks))
+    text = text.replace(ANCHOR, ANCHOR + blocks)
+    old = ConfigurationText.of(1, text.encode())
+    new = ConfigurationText.of(2, text.replace("cap = 10%", "cap = 12%").encode())
+    history = ConfigurationHistory()
+    history.add(old)
+    history.add(new)
+    push = history.push_to(1)
+    whole = history.push_to(0)
+    assert push is not None and whole is not None
+    make_us = microseconds(lambda: history.push_to(1), 20)
+    apply_us = microseconds(lambda: history.text_of(push), 20)
+    parse_us = microseconds(
+        lambda: parse_environment(decode_document(new.text).text), 3
+    )
+    return (
+        f"document of {len(new.text):>6} B  whole push {len(encode_message(whole))} B"
+        f"  difference {len(encode_message(push))} B  make {make_us:6.0f} us"
+        f"  apply {apply_us:5.0f} us  parse {parse_us / 1000:7.1f} ms"
+    )
--- a/testing/policies/test_distribution.py
+++ b/testing/policies/test_distribution.py
@@ -8,6 +8,10 @@
 from sycamorenotch_policies import ConfigurationHistory
 from sycamorenotch_policies import ConfigurationText
 from sycamorenotch_policies import Confirmation
+from sycamorenotch_policies._difference import apply_difference
+from sycamorenotch_policies._difference import difference
+
+PARTS = (b"", b"x", b"0123456789" * 7, b"abcdefghijkl" * 9, bytes(range(200)))
 
 
 @given(st.lists(st.binary(max_size=40), min_size=2, max_size=8))
@@ -45,14 +49,23 @@
     assert newest is None or newest.generation == max(receiver._texts)
 
 
-def test_push_is_small_when_one_word_of_a_long_text_changes() -> None:
+def test_push_is_small_when_distant_words_of_a_long_text_change() -> None:
+    lines = [b"line %d" % index for index in range(3000)]
     history = ConfigurationHistory()
-    history.add(ConfigurationText.of(1, b"x" * 9000 + b"cap = 1" + b"y" * 9000))
-    history.add(ConfigurationText.of(2, b"x" * 9000 + b"cap = 2" + b"y" * 9000))
+    history.add(ConfigurationText.of(1, b"\n".join(lines)))
+    lines[10], lines[2900] = b"another line", b"one more"
+    history.add(ConfigurationText.of(2, b"\n".join(lines)))
     push = history.push_to(1)
-    assert push is not None and push.middle == b"2"
+    assert push is not None
+    assert sum(len(piece.new) for piece in push.pieces) < 40
     assert history.push_to(2) is None
-    assert history.push_to(0).middle == history.newest.text
+    assert [piece.new for piece in history.push_to(0).pieces] == [history.newest.text]
+
+
+@given(st.lists(st.sampled_from(PARTS), max_size=9), st.lists(st.sampled_from(PARTS)))
+def test_difference_makes_the_new_text(old: list[bytes], new: list[bytes]) -> None:
+    before, after = b"".join(old), b"".join(new)
+    assert apply_difference(before, difference(before, after)) == after
 
 
 def test_damaged_push_gives_nothing() -> None:
@@ -60,7 +73,7 @@
     history.add(ConfigurationText.of(1, b"text"))
     push = history.push_to(0)
     other = ConfigurationText.of(1, b"else")
-    damaged = type(push)(1, other.digest, 0, 0, 0, push.middle)
+    damaged = type(push)(1, other.digest, 0, push.pieces)
     assert ConfigurationHistory().text_of(damaged) is None
 
 
