--- a/packages/daemon/src/sycamorenotch_daemon/_plan_asker.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_plan_asker.py
@@ -8,6 +8,7 @@
 
 from sycamorenotch_daemon._background import Background
 from sycamorenotch_daemon._demand import DemandCounter
+from sycamorenotch_daemon._membership import FleetMembership
 from sycamorenotch_daemon._node import Node
 from sycamorenotch_daemon._peer_greeting import PeerIdentity
 from sycamorenotch_daemon._peer_mesh import PeerMesh
@@ -79,12 +80,19 @@
             news_of_workers(self._node),
         )
         if holder != self._me:
+            self._keep_stream(holder)
             self._mesh.send(holder, question)
             return
         confirmation = self._answer(self._me, question)
         if confirmation is not None:
             self._accept(confirmation)
 
+    def _keep_stream(self, holder: InstanceId) -> None:
+        # The holder need not be among the few contacts of this instance.
+        fleet = self._node.find(FleetMembership)
+        if fleet is not None:
+            fleet.keep("plan", holder)
+
     def _answer(
         self, instance: InstanceId, question: PlanQuestion
     ) -> PlanConfirmation | None:
--- a/testing/daemon/test_control_fleet.py
+++ b/testing/daemon/test_control_fleet.py
@@ -75,6 +75,20 @@
     run_fleet(run_in_reactor, 24, scenario)
 
 
+def test_stream_to_an_instance_is_kept_when_a_component_needs_it(
+    run_in_reactor: Callable[..., Any],
+) -> None:
+    async def scenario(fleet: ControlFleet) -> None:
+        holder = InstanceId(fleet.slots[0][0])
+        others = [d.node for name, d in fleet.daemons.items() if name != holder]
+        for node in others:
+            node.require(FleetMembership).keep("plan", holder)
+        meshes = [node.require(PeerMesh) for node in others]
+        await fleet.until(lambda: all(mesh.has(holder) for mesh in meshes))
+
+    run_fleet(run_in_reactor, 18, scenario)
+
+
 def test_change_arrives_by_heartbeat_when_pushes_are_lost(
     run_in_reactor: Callable[..., Any],
 ) -> None:
