List the operators' pages on single matters in their index

Change: 'make docs' writes the links of docs/OPERATIONS.md as those of the design page. The test of the burn report also covers that both alarms are raised.

--- a/packages/workbench/src/sycamorenotch_workbench/catalogue.py
+++ b/packages/workbench/src/sycamorenotch_workbench/catalogue.py
@@ -12,6 +12,7 @@
 from sycamorenotch_kernel import load_plugins
 
 DOCS = Path(__file__).parents[4] / "docs"
+INDEXED_FOLDERS = ("design", "operations")
 LINKS_TITLE = "## Pages on single matters"
 OWN_PREFIX = "sycamorenotch_"
 
@@ -60,13 +61,16 @@
     return "\n".join([ERRORS_HEAD, *head, *rows, ""])
 
 
-def design_page() -> str:
-    """Return the design page with a link to each page on a single matter."""
-    text = (DOCS / "DESIGN.md").read_text()
+def linked_page(folder: str) -> str:
+    """Return a folder's index page with a link to each page on a single matter.
+
+    :param folder: name of the folder; that of the index in lower case.
+    """
+    text = (DOCS / f"{folder.upper()}.md").read_text()
     kept = text[: text.index(LINKS_TITLE)] + LINKS_TITLE
     links = (
-        f"- [{_title(path)}](design/{path.name})"
-        for path in sorted((DOCS / "design").glob("*.md"))
+        f"- [{_title(path)}]({folder}/{path.name})"
+        for path in sorted((DOCS / folder).glob("*.md"))
     )
     return "\n".join([kept, "", *links, ""])
 
@@ -96,7 +100,8 @@
     load_plugins()
     (DOCS / "EVENTS.md").write_text(events_page())
     (DOCS / "ERRORS.md").write_text(errors_page())
-    (DOCS / "DESIGN.md").write_text(design_page())
+    for folder in INDEXED_FOLDERS:
+        (DOCS / f"{folder.upper()}.md").write_text(linked_page(folder))
 
 
 if __name__ == "__main__":
--- a/testing/cli/test_burn_report.py
+++ b/testing/cli/test_burn_report.py
@@ -13,6 +13,8 @@
 from sycamorenotch_cli._client import OperatorsClient
 from sycamorenotch_cli._commands import ExitCode
 from sycamorenotch_cli._commands import Outcome
+from sycamorenotch_daemon._burn import BurnRecorder
+from sycamorenotch_kernel import BurnAlarm
 from sycamorenotch_workbench import LocalExample
 
 RunCommand = Callable[..., Outcome]
@@ -51,6 +53,10 @@
     assert sum(item["count"] for item in balance["spent"]) == 2
     decision = balance["spent"][0]["decisions"][0]
     assert run_command("explain", decision).code is ExitCode.OK
+    recorder = example.daemons[0].node.require(BurnRecorder)
+    recorder._on_check()
+    raised = {r.objective.service: r.alarms for r in recorder.recorders if r.alarms}
+    assert raised == {"balance": {BurnAlarm.FAST, BurnAlarm.SLOW}}
     text = page.read_text()
     assert text.count("<svg") == 2
     assert not re.search(r'(src|href)="https?:', text)
--- a/testing/docs/test_catalogues.py
+++ b/testing/docs/test_catalogues.py
@@ -12,9 +12,10 @@
 from sycamorenotch_kernel import ErrorKind
 from sycamorenotch_kernel import commands
 from sycamorenotch_kernel import events
-from sycamorenotch_workbench.catalogue import design_page
+from sycamorenotch_workbench.catalogue import INDEXED_FOLDERS
 from sycamorenotch_workbench.catalogue import errors_page
 from sycamorenotch_workbench.catalogue import events_page
+from sycamorenotch_workbench.catalogue import linked_page
 
 ROOT = Path(__file__).parents[2]
 DOCS = ROOT / "docs"
@@ -58,5 +59,6 @@
     assert number in events
 
 
-def test_design_page_links_every_page_on_a_single_matter() -> None:
-    assert (DOCS / "DESIGN.md").read_text() == design_page(), ADVICE
+@pytest.mark.parametrize("folder", INDEXED_FOLDERS)
+def test_index_links_every_page_on_a_single_matter(folder: str) -> None:
+    assert (DOCS / f"{folder.upper()}.md").read_text() == linked_page(folder), ADVICE
