--- a/packages/policies/src/sycamorenotch_policies/_membership.py
+++ b/packages/policies/src/sycamorenotch_policies/_membership.py
@@ -6,16 +6,15 @@
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
-from typing import Protocol
 from typing import final
 
-from automat import TypeMachineBuilder
-
 from sycamorenotch_kernel import InstanceId
 from sycamorenotch_kernel import ListedInstance
 from sycamorenotch_kernel import MemberState
 from sycamorenotch_kernel import Rumour
 from sycamorenotch_policies._fleet import FleetMember
+from sycamorenotch_policies._member_life import MemberLife
+from sycamorenotch_policies._member_life import new_life
 
 SUSPECT_AFTER = timedelta(seconds=3)
 GONE_AFTER = timedelta(seconds=6)
@@ -28,46 +27,6 @@
 REFRESH_PER_HEARTBEAT = 2
 
 
-class MemberLife(Protocol):
-    """Inputs of a member's machine; each returns whether the state changed."""
-
-    def state(self) -> MemberState:
-        """Return the state."""
-
-    def alive(self) -> bool:
-        """Take note that the member serves."""
-
-    def leave(self) -> bool:
-        """Take note that the member announced its stop."""
-
-    def suspect(self) -> bool:
-        """Take note that the member does not answer."""
-
-    def confirm(self) -> bool:
-        """Take note that nobody refuted the suspicion in time."""
-
-
-def _machine() -> TypeMachineBuilder[MemberLife, None]:
-    builder = TypeMachineBuilder(MemberLife, type(None))
-    states = {state: builder.state(state.value) for state in MemberState}
-    for name, state in states.items():
-        state.upon(MemberLife.state).loop().returns(name)
-        for each, target in (
-            (MemberLife.alive, MemberState.LIVE),
-            (MemberLife.leave, MemberState.LEAVING),
-            (MemberLife.suspect, MemberState.SUSPECT),
-            (MemberLife.confirm, MemberState.GONE),
-        ):
-            # What is gone cannot be suspected; only new news revives it.
-            stays = name is MemberState.GONE and target is MemberState.SUSPECT
-            end = name if stays else target
-            state.upon(each).to(states[end]).returns(end is not name)
-    return builder
-
-
-_BUILD = _machine().build()
-
-
 @final
 @dataclass(slots=True)
 class _Member:
@@ -82,7 +41,7 @@
     direct: timedelta | None = None
     asked: timedelta | None = None
     listed: bool = False
-    life: MemberLife = field(default_factory=lambda: _BUILD(None))
+    life: MemberLife = field(default_factory=new_life)
 
     @property
     def state(self) -> MemberState:
--- a/packages/workbench/src/sycamorenotch_workbench/_slopes_blocks.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_slopes_blocks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import tracemalloc
 from collections.abc import Iterator
 from ipaddress import IPv4Address
 from ipaddress import IPv4Network
@@ -44,6 +45,11 @@
         for value in vars(table).values()
         if hasattr(value, "itemsize")
     )
+    tracemalloc.start()
+    objects = tuple(network for network, _ in _blocks(count))
+    as_objects, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del objects
     span = count * BLOCK_ADDRESSES
     clients = [
         IPv4Address(FIRST_ADDRESS + random.randrange(span)) for _ in range(LOOKUPS)
@@ -52,6 +58,7 @@
     lookup_us = microseconds(lambda: table.find(next(each)), LOOKUPS)
     return (
         f"blocks {count:>7}  sites {SITES}  bytes/block {arrays / count:5.1f}"
+        f" ({as_objects / count:5.1f} as objects)"
         f"  resident {held / 2**20:6.1f} MiB  look-up {lookup_us:5.2f} us"
         f"  build {build_s:6.2f} s ({build_s / count * 1e6:4.1f} us/block)"
     )
--- a/testing/daemon/test_control_fleet.py
+++ b/testing/daemon/test_control_fleet.py
@@ -159,6 +159,22 @@
     run_fleet(run_in_reactor, 9, scenario)
 
 
+def test_generation_stays_when_the_store_is_restored_to_an_older_one(
+    run_in_reactor: Callable[..., Any],
+) -> None:
+    async def scenario(fleet: ControlFleet) -> None:
+        before = fleet.table.get("environments", "production").ok
+        generation = fleet.write(1)
+        await fleet.until(lambda: fleet.in_force(generation))
+        for daemon in fleet.daemons.values():
+            (watch,) = (c for c in daemon.components if type(c) is ConfigurationWatch)
+            watch._take_stored(before)
+            assert daemon.node.configuration.generation == generation
+            assert 2113 in [event.number for event in daemon.sink.events]
+
+    run_fleet(run_in_reactor, 3, scenario)
+
+
 def test_leaving_instance_is_known_to_others_when_it_stops(
     run_in_reactor: Callable[..., Any],
 ) -> None:
