Write the plan again when its object was removed

The holder kept the version of the removed object and every update of it failed as not found; the new test fails without the change. A read that finds no object now lets the holder create it from the plan in force.

--- a/packages/daemon/src/sycamorenotch_daemon/_plan_watch.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_plan_watch.py
@@ -85,7 +85,9 @@
             self._after = max(self._after or Version(0), found.ok.version)
             return True
         if found.error.fault is StoreFault.NOT_FOUND:
+            # The plan stays in force, and the holder may create the object.
             self._after = self._after or Version(0)
+            self.version = None
             return True
         self._report(found.error)
         return False
--- a/testing/daemon/plan/test_plan_holder.py
+++ b/testing/daemon/plan/test_plan_holder.py
@@ -188,3 +188,14 @@
     reported = fleet.holder().events("steering.measurement-missing")
     assert reported
     assert len(set(reported)) == len(reported)
+
+
+def test_plan_is_written_again_when_its_object_was_removed(fleet: Any) -> None:
+    fleet.pass_time(15)
+    before = stored_plan(fleet).plan
+    stored = fleet.table.get(PLAN_KIND, "production").ok
+    fleet.table.delete(PLAN_KIND, "production", stored.version)
+    fleet.holder().configure(2)
+    fleet.pass_time(5)
+    assert stored_plan(fleet).plan.sequence > before.sequence
+    assert all(i.watch.plan() == stored_plan(fleet).plan for i in fleet.instances)
