--- a/packages/daemon/src/sycamorenotch_daemon/_http_store.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_http_store.py
@@ -33,6 +33,7 @@
 from sycamorenotch_kernel import StoreFault
 from sycamorenotch_kernel import Version
 from sycamorenotch_kernel import store_adapters
+from sycamorenotch_transport import BytesProducer
 
 T = TypeVar("T")
 
@@ -186,7 +187,10 @@
         body: bytes | None,
     ) -> tuple[int, bytes]:
         response = await self._client.request(
-            method, self._url + path, headers=headers, data=body
+            method,
+            self._url + path,
+            headers=headers,
+            data=None if body is None else BytesProducer(body),
         )
         return response.code, await treq.content(response)
 
--- a/packages/daemon/src/sycamorenotch_daemon/_upstream_client.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_upstream_client.py
@@ -14,7 +14,6 @@
 from expression import Result
 from twisted.internet.defer import CancelledError
 from twisted.internet.defer import Deferred
-from twisted.internet.defer import succeed
 from twisted.internet.error import ConnectError
 from twisted.internet.error import ConnectingCancelledError
 from twisted.internet.protocol import Protocol
@@ -27,9 +26,7 @@
 from twisted.web.client import ResponseDone
 from twisted.web.client import ResponseNeverReceived
 from twisted.web.http_headers import Headers as HttpHeaders
-from twisted.web.iweb import IBodyProducer
 from twisted.web.iweb import IResponse
-from zope.interface import implementer
 
 from sycamorenotch_daemon._connections import BudgetedEndpoints
 from sycamorenotch_daemon._connections import ConnectionRefusedByBudgetError
@@ -42,6 +39,7 @@
 from sycamorenotch_kernel import Worker
 from sycamorenotch_policies import ConnectionBudget
 from sycamorenotch_policies import Outcome
+from sycamorenotch_transport import BytesProducer
 
 NOT_RUN_HEADER = b"Request-Ran"
 IDENTIFIER_HEADER = b"Request-Id"
@@ -77,28 +75,6 @@
     """An answer is larger than an instance holds in memory."""
 
 
-@implementer(IBodyProducer)
-@final
-class _BytesProducer:
-    def __init__(self, body: bytes) -> None:
-        self._body = body
-        self.length = len(body)
-
-    def startProducing(self, consumer: Any) -> Deferred[None]:
-        """Write the whole body."""
-        consumer.write(self._body)
-        return succeed(None)
-
-    def pauseProducing(self) -> None:
-        """Do nothing; everything is written at once."""
-
-    def resumeProducing(self) -> None:
-        """Do nothing; everything is written at once."""
-
-    def stopProducing(self) -> None:
-        """Do nothing; everything is written at once."""
-
-
 @final
 class _BodyReceiver(Protocol):
     """Collects a body and accepts it only if its end is certain."""
@@ -200,7 +176,7 @@
         call = self._call
         url = f"http://{self._worker.address}{call.path}".encode("latin-1")
         headers = _request_headers(call, remaining)
-        body = _BytesProducer(call.body) if call.body else None
+        body = BytesProducer(call.body) if call.body else None
         try:
             response = await agent.request(call.method.encode(), url, headers, body)
             self._answering = True
--- a/packages/transport/src/sycamorenotch_transport/__init__.py
+++ b/packages/transport/src/sycamorenotch_transport/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sycamorenotch_transport._bodies import BytesProducer
 from sycamorenotch_transport._bounded_http import RequestBounds
 from sycamorenotch_transport._bounded_http import WireAnswer
 from sycamorenotch_transport._bounded_http import WireProblem
@@ -10,6 +11,7 @@
 from sycamorenotch_transport._resolver import install_literal_resolver
 
 __all__ = [
+    "BytesProducer",
     "HttpListener",
     "LiteralResolver",
     "RequestBounds",
--- a/packages/workbench/src/sycamorenotch_workbench/_soak_machine.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_soak_machine.py
@@ -27,6 +27,8 @@
 UPSTREAM_MODES = ("none", "slow", "crash", "cut", "drain", "shed")
 STORE_MODES = ("none", "down", "slow", "lose_answers")
 FLOOD_SIZE = 25
+INSTANCE_FAULTS = ("killed", "replaced", "paused")
+TIME_OF_STEP = timedelta(milliseconds=30)
 REPLACEMENT_DELAY = timedelta(seconds=3)
 RECOVERY = timedelta(seconds=120)
 
@@ -82,6 +84,7 @@
 
     def _step(self, fault: str | None = None) -> None:
         self.totals.steps += 1
+        self.system.advance(TIME_OF_STEP)
         if fault is not None:
             self.totals.faults[fault] += 1
 
@@ -150,50 +153,39 @@
         self._step()
         self.system.advance(duration)
 
-    @rule(instance=instance_names)
-    def kill_instance(self, instance: str) -> None:
-        """End the process of an instance; the platform replaces it later."""
-        self._step("instance killed")
-        if not self.system.instances[instance].host.dead:
+    @rule(instance=instance_names, fault=st.sampled_from(INSTANCE_FAULTS))
+    def fault_instance(self, instance: str, fault: str) -> None:
+        """Kill, replace or pause an instance; the platform mends it later."""
+        self._step(f"instance {fault}")
+        queue = self.system.network.queue
+        found = self.system.instances[instance]
+        if fault == "replaced":
+            self.system.restart(instance)
+        elif fault == "killed":
             self.system.kill(instance)
-            delay = REPLACEMENT_DELAY.total_seconds()
-            queue = self.system.network.queue
-            queue.call_later(delay, lambda: self._replace_if_dead(instance))
-
-    def _replace_if_dead(self, instance: str) -> None:
-        if self.system.instances[instance].host.dead:
+        else:
+            found.host.pause()
+        delay = REPLACEMENT_DELAY.total_seconds()
+        queue.call_later(delay, lambda: self._mend(instance))
+
+    def _mend(self, instance: str) -> None:
+        found = self.system.instances[instance]
+        found.host.resume()
+        if found.host.dead:
             self.system.restart(instance)
 
-    @rule(instance=instance_names)
-    def restart_instance(self, instance: str) -> None:
-        """Replace an instance by a new process."""
-        self._step("instance replaced")
-        self.system.restart(instance)
-
-    @rule(instance=instance_names)
-    def pause_instance(self, instance: str) -> None:
-        """Stop the process of an instance from running."""
-        self._step("instance paused")
-        self.system.instances[instance].host.pause()
-
-    @rule(instance=instance_names)
-    def resume_instance(self, instance: str) -> None:
-        """Let a paused instance run again."""
-        self._step()
-        self.system.instances[instance].host.resume()
-
-    @rule(first=st.sampled_from(REGIONS), second=st.sampled_from(REGIONS))
-    def cut_regions(self, first: str, second: str) -> None:
-        """Hold all data between two regions."""
+    @rule(
+        first=st.sampled_from(REGIONS),
+        second=st.sampled_from(REGIONS),
+        duration=steps_of_time,
+    )
+    def cut_regions(self, first: str, second: str, duration: timedelta) -> None:
+        """Hold all data between two regions for some time."""
         if first != second:
             self._step("regions cut")
-            self.system.network.cut(first, second)
-
-    @rule()
-    def heal_regions(self) -> None:
-        """End every cut."""
-        self._step()
-        self.system.network.heal()
+            network = self.system.network
+            network.cut(first, second)
+            network.queue.call_later(duration.total_seconds(), network.heal)
 
     @rule(mode=st.sampled_from(STORE_MODES), count=counts)
     def fault_store(self, mode: str, count: int | None) -> None:
--- a/packages/workbench/src/sycamorenotch_workbench/_virtual_system.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_virtual_system.py
@@ -32,6 +32,7 @@
 from sycamorenotch_standins import ObjectTable
 from sycamorenotch_standins import StoreApi
 from sycamorenotch_standins import UpstreamWorker
+from sycamorenotch_transport import BytesProducer
 from sycamorenotch_workbench._example import ENVIRONMENT
 from sycamorenotch_workbench._virtual_network import VirtualHost
 from sycamorenotch_workbench._virtual_network import VirtualNetwork
@@ -339,7 +340,7 @@
                 method,
                 url,
                 headers=dict(headers or {}),
-                data=body,
+                data=None if body is None else BytesProducer(body),
                 timeout=CALLER_TIMEOUT.total_seconds(),
                 reactor=self._caller_host,
             )
