--- a/packages/daemon/src/sycamorenotch_daemon/_admission_stage.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_admission_stage.py
@@ -152,7 +152,7 @@
 
     def _expire(self) -> None:
         now = self._node.clock.monotonic()
-        for discipline in set(self._holders.values()):
+        for discipline in dict.fromkeys(self._holders.values()):
             self._settle(discipline.expire(now))
         if not self._waiting:
             self._expiry.stop()
@@ -175,7 +175,7 @@
         self._resize_without_grants()
 
     def _resize_without_grants(self) -> None:
-        for service in self._disciplines.keys() - self._granted:
+        for service in sorted(self._disciplines.keys() - self._granted):
             self._resize(service, self._even_share(service))
 
     def _even_share(self, service: str) -> int:
--- a/packages/workbench/src/sycamorenotch_workbench/_virtual_network.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_virtual_network.py
@@ -213,8 +213,9 @@
         if protocol is None:
             self._host.run(self._refuse)
             return
-        server.open(protocol)
+        # The client is connected before the first data of the server arrives.
         self._host.network.send(port.host, self._host, lambda: self._opened(client))
+        server.open(protocol)
 
     def _opened(self, client: VirtualTransport) -> None:
         if self._over:
