--- a/packages/daemon/src/sycamorenotch_daemon/_membership.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_membership.py
@@ -169,7 +169,7 @@
             targets.update(self._contacts)
         if self._round % WATCHER_ROUNDS == 0:
             targets.update(self._watchers)
-        for instance in targets - {self._me}:
+        for instance in sorted(targets - {self._me}):
             self._members.asked(instance, self._now())
             self._mesh.send(instance, self._heartbeat(answer=True))
 
@@ -185,7 +185,9 @@
         observed = {i for i in chosen if i is not None}
         self._members.release(observed)
         wanted = observed | {i for i in self._kept.values() if i != self._me}
-        self._aims = {i: self._listed[i].peers for i in wanted if i in self._listed}
+        self._aims = {
+            i: self._listed[i].peers for i in sorted(wanted) if i in self._listed
+        }
         self._changed = False
 
     def _on_heartbeat(self, peer: PeerIdentity, message: Heartbeat) -> None:
--- a/packages/policies/src/sycamorenotch_policies/_membership.py
+++ b/packages/policies/src/sycamorenotch_policies/_membership.py
@@ -173,7 +173,7 @@
     def tick(self, now: timedelta) -> tuple[Transition, ...]:
         """Suspect who does not answer, give up who does not refute."""
         changes: list[Transition] = []
-        for member in [self._members[instance] for instance in self._doubtful]:
+        for member in [self._members[name] for name in sorted(self._doubtful)]:
             changes += self._tick(member, now)
             if not member.listed and self._forgettable(member, now):
                 del self._members[member.instance]
