--- a/packages/daemon/src/sycamorenotch_daemon/_dispatch.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_dispatch.py
@@ -13,9 +13,11 @@
 from sycamorenotch_daemon._upstream_client import AttemptResult
 from sycamorenotch_daemon._upstreams import Upstreams
 from sycamorenotch_kernel import Call
+from sycamorenotch_kernel import CallAnswer
 from sycamorenotch_kernel import CallResult
 from sycamorenotch_kernel import ErrorKind
 from sycamorenotch_kernel import Failure
+from sycamorenotch_kernel import Invariant
 from sycamorenotch_kernel import Proceed
 from sycamorenotch_kernel import Ran
 from sycamorenotch_kernel import call_stages
@@ -75,7 +77,17 @@
             cause = call.signature or None
             chooser.finish(worker.name, call.upstream_time, outcome, now, cause)
         self._count_strike(call, worker.name, result)
-        return Ok(result.ok) if result.is_ok() else Error(result.error.failure)
+        if result.is_error():
+            return Error(result.error.failure)
+        return self._checked(call, result.ok, worker.name)
+
+    def _checked(self, call: Call, answer: CallAnswer, worker: str) -> CallResult:
+        detail = f"{worker}: {len(answer.body)} of {answer.length} bytes"
+        belongs = answer.belongs_to(call)
+        if self._node.invariants.holds(Invariant.I4, belongs, detail):
+            return Ok(answer)
+        refused = "the answer is not whole or belongs to another request"
+        return Error(Failure(ErrorKind.INVARIANT, refused, Ran.UNKNOWN))
 
     def _count_strike(self, call: Call, worker: str, result: AttemptResult) -> None:
         quarantine = self._node.find(Quarantine)
--- a/packages/daemon/src/sycamorenotch_daemon/_plan_holder.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_plan_holder.py
@@ -35,6 +35,7 @@
 from sycamorenotch_policies import PlanDecision
 from sycamorenotch_policies import SteeringView
 from sycamorenotch_policies import excess_grants
+from sycamorenotch_policies import excess_links
 from sycamorenotch_policies import excess_shifts
 from sycamorenotch_policies import make_plan
 
@@ -126,16 +127,25 @@
                 self._node.sink.emit(event)
         self._reported = frozenset(decision.events)
         needed = decision.changed or self._written_term != self._term
-        if needed and self._holds(decision.plan, previous, current):
+        if needed and self._holds(decision.plan, previous, view):
             await self._write(decision)
 
-    def _holds(self, plan: Plan, previous: Plan | None, current: InForce) -> bool:
+    def _holds(self, plan: Plan, previous: Plan | None, view: SteeringView) -> bool:
         """Assert the invariants of a plan before it is written."""
-        environment, invariants = current.environment, self._node.invariants
+        environment, invariants = view.environment, self._node.invariants
         shifts = excess_shifts(plan, previous, environment)
         grants = excess_grants(plan, previous, environment)
-        capped = invariants.holds(Invariant.I1, not shifts, "; ".join(shifts))
-        return invariants.holds(Invariant.I2, not grants, "; ".join(grants)) and capped
+        links = excess_links(plan, previous, environment, view.demands)
+        found = (
+            (Invariant.I1, shifts),
+            (Invariant.I2, grants),
+            (Invariant.I3, links),
+        )
+        held = [
+            invariants.holds(item, not excess, "; ".join(excess))
+            for item, excess in found
+        ]
+        return all(held)
 
     def _begin_term(self) -> None:
         if self._term != self._lease.term:
--- a/packages/daemon/src/sycamorenotch_daemon/_upstream_client.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_upstream_client.py
@@ -205,7 +205,20 @@
             detail = f"{self._worker.name} shed the request"
             failure = Failure(ErrorKind.UPSTREAM_SHED, detail, Ran.NO, SHED_RETRY_AFTER)
             return Error(AttemptFailure(failure, Outcome.SHED))
-        return Ok(CallAnswer(response.code, end_to_end(headers), content))
+        answer = CallAnswer(
+            status=response.code,
+            headers=end_to_end(headers),
+            body=content,
+            answers=echoed[0].decode("latin-1") if echoed else "",
+            length=self._announced_length(response),
+        )
+        return Ok(answer)
+
+    def _announced_length(self, response: IResponse) -> int | None:
+        # An answer to HEAD announces the length of a body that it leaves out.
+        if self._call.method == "HEAD" or not isinstance(response.length, int):
+            return None
+        return response.length
 
     def _malformed(self, exc: ValueError) -> AttemptResult:
         failure = Failure(ErrorKind.BAD_REQUEST, str(exc), Ran.NO)
--- a/packages/kernel/src/sycamorenotch_kernel/_calls.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_calls.py
@@ -73,11 +73,21 @@
     """A whole answer of an upstream.
 
     :param headers: end-to-end headers only.
+    :param answers: identifier of the request that the upstream says it
+        answers; empty if it says nothing.
+    :param length: number of body bytes that the upstream announced, if it did.
     """
 
     status: int
     headers: Headers
     body: bytes
+    answers: str = ""
+    length: int | None = None
+
+    def belongs_to(self, call: Call) -> bool:
+        """Whether the answer is whole and is not one to another request."""
+        whole = self.length is None or self.length == len(self.body)
+        return whole and self.answers in ("", call.id)
 
 
 CallResult = Result[CallAnswer, Failure]
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -79,6 +79,7 @@
 from sycamorenotch_policies._membership import Transition
 from sycamorenotch_policies._outcomes import Outcome
 from sycamorenotch_policies._plan_checks import excess_grants
+from sycamorenotch_policies._plan_checks import excess_links
 from sycamorenotch_policies._plan_checks import excess_shifts
 from sycamorenotch_policies._quarantine import Quarantine
 from sycamorenotch_policies._quarantine import Signature
@@ -204,6 +205,7 @@
     "apportion",
     "assess",
     "excess_grants",
+    "excess_links",
     "excess_shifts",
     "fingerprint",
     "lease_candidates",
--- a/packages/policies/src/sycamorenotch_policies/_plan_checks.py
+++ b/packages/policies/src/sycamorenotch_policies/_plan_checks.py
@@ -9,8 +9,10 @@
 from sycamorenotch_kernel import Environment
 from sycamorenotch_kernel import Grant
 from sycamorenotch_kernel import Plan
+from sycamorenotch_policies._steering_view import Demand
 
 SHARE_TOLERANCE = 1e-9
+BITS_PER_BYTE = 8
 
 
 def excess_shifts(
@@ -51,6 +53,52 @@
     return tuple(_excess(_totals(plan.grants), before, slots))
 
 
+def excess_links(
+    plan: Plan,
+    previous: Plan | None,
+    environment: Environment,
+    demands: Iterable[Demand],
+) -> tuple[str, ...]:
+    """Return the links that the plan's routes load past their budgets.
+
+    A link that the previous plan loaded as much under the same demand is not
+    held against a plan that adds nothing.
+
+    :param demands: requests that the clients offer now.
+    """
+    offered = tuple(demands)
+    before = _link_rates(previous, environment, offered)
+    after = _link_rates(plan, environment, offered)
+    return tuple(_overloaded(before, after, environment))
+
+
+def _overloaded(
+    before: dict[tuple[str, str], float],
+    after: dict[tuple[str, str], float],
+    environment: Environment,
+) -> Iterator[str]:
+    for (source, target), rate in sorted(after.items()):
+        budget = environment.links[source, target].budget
+        known = before.get((source, target), 0.0) * (1 + SHARE_TOLERANCE)
+        if rate > max(budget, known):
+            yield f"{source} to {target}: {rate:.0f} of {budget} bit/s"
+
+
+def _link_rates(
+    plan: Plan | None, environment: Environment, demands: tuple[Demand, ...]
+) -> dict[tuple[str, str], float]:
+    rates = {(d.service, d.source, d.rank): d.rate for d in demands}
+    loads: defaultdict[tuple[str, str], float] = defaultdict(float)
+    for route in () if plan is None else plan.routes:
+        rate = rates.get((route.service, route.source, route.rank), 0.0)
+        service = environment.services.get(route.service)
+        for item in route.shares:
+            link = (item.region, route.source)
+            if service is not None and link in environment.links:
+                loads[link] += rate * item.share * service.answer_size * BITS_PER_BYTE
+    return dict(loads)
+
+
 def _totals(grants: Iterable[Grant]) -> dict[tuple[str, str], int]:
     totals: defaultdict[tuple[str, str], int] = defaultdict(int)
     for grant in grants:
--- /dev/null
+++ b/testing/daemon/calls/test_answer_invariant.py
@@ -0,0 +1,40 @@
+"""Tests of the assertion that an answer is whole and belongs to its request."""
+
+from __future__ import annotations
+
+import pytest
+from expression import Ok
+
+from sycamorenotch_daemon._upstream_client import UpstreamClient
+from sycamorenotch_kernel import CallAnswer
+from sycamorenotch_workbench._soak_document import soak_document
+from sycamorenotch_workbench._virtual_system import Reply
+from sycamorenotch_workbench._virtual_system import VirtualSystem
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        pytest.param(CallAnswer(200, (), b"whole", "d-other"), id="crossed"),
+        pytest.param(CallAnswer(200, (), b"who", "", 5), id="cut short"),
+    ],
+)
+def test_answer_is_refused_when_client_lets_a_wrong_one_through(
+    monkeypatch: pytest.MonkeyPatch, answer: CallAnswer
+) -> None:
+    async def send(self: UpstreamClient, *args: object) -> object:
+        return Ok(answer)
+
+    monkeypatch.setattr(UpstreamClient, "send", send)
+    system = VirtualSystem(soak_document(), instances=1)
+    system.wait(_settled(system))
+    reply = system.call("entry-west-a", "GET", "/v1/call/lookup/urgent/1")
+    system.close()
+    assert (reply.status, reply.json()["kind"]) == (500, "invariant")
+    assert reply.ran == "unknown"
+    names = {entry.event.name for entry in system.entries}
+    assert "invariant.violated" in names
+
+
+async def _settled(system: VirtualSystem) -> Reply:
+    return await system.request("entry-west-a", "GET", "/healthz")
--- a/testing/policies/test_plan_checks.py
+++ b/testing/policies/test_plan_checks.py
@@ -13,9 +13,14 @@
 from sycamorenotch_kernel import Grant
 from sycamorenotch_kernel import InstanceId
 from sycamorenotch_kernel import Plan
+from sycamorenotch_kernel import PlanRoute
+from sycamorenotch_kernel import Rank
+from sycamorenotch_kernel import RegionShare
 from sycamorenotch_kernel import Shift
 from sycamorenotch_kernel import ShiftCause
+from sycamorenotch_policies import Demand
 from sycamorenotch_policies import excess_grants
+from sycamorenotch_policies import excess_links
 from sycamorenotch_policies import excess_shifts
 
 DOCUMENT = (Path(__file__).parents[2] / "examples" / "vatukoula.ini").read_text()
@@ -69,3 +74,27 @@
 def test_earlier_moves_over_a_smaller_cap_do_not_stop_a_plan_without_moves() -> None:
     before = plan(shifts=(shift(CAP * 2),))
     assert not excess_shifts(before, before, ENVIRONMENT)
+
+
+def route_over_link(share: float) -> Plan:
+    shares = (RegionShare("viti-west", 1 - share), RegionShare("viti-east", share))
+    route = PlanRoute("redemption", "viti-west", Rank.DEFERRABLE, shares)
+    return Plan(1, 1, NOW, InstanceId("a"), (route,), ())
+
+
+@pytest.mark.parametrize(
+    ("share", "before", "excess"),
+    [
+        pytest.param(0.1, 0.0, 0, id="within the budget"),
+        pytest.param(0.9, 0.0, 1, id="over the budget"),
+        pytest.param(0.9, 0.9, 0, id="over the budget by demand alone"),
+    ],
+)
+def test_excess_links_when_route_crosses_a_link(
+    share: float, before: float, excess: int
+) -> None:
+    # 10,000 answers of 100 kB are twice the 4 Gbit/s of the link.
+    demand = Demand("redemption", "viti-west", Rank.DEFERRABLE, 10_000, timedelta())
+    plan, previous = route_over_link(share), route_over_link(before)
+    found = excess_links(plan, previous, ENVIRONMENT, (demand,))
+    assert len(found) == excess
