--- a/packages/daemon/src/sycamorenotch_daemon/_node.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_node.py
@@ -99,9 +99,9 @@
 
         :return: whether the candidate is in force now.
         """
-        if candidate.generation <= self.generation:
+        if not self._supersedes(candidate):
             return False
-        newer = self._current is None or candidate.generation > self.generation
+        newer = candidate.generation > self.generation
         detail = f"{self.generation} to {candidate.generation}"
         if not self._invariants.holds(Invariant.I9, newer, detail):
             return False
@@ -113,6 +113,10 @@
             listener(candidate)
         return True
 
+    def _supersedes(self, candidate: InForce) -> bool:
+        current = self._current
+        return current is None or current.generation < candidate.generation
+
 
 @final
 @dataclass(slots=True)
