--- /dev/null
+++ b/packages/workbench/src/sycamorenotch_workbench/_virtual_host.py
@@ -0,0 +1,300 @@
+"""The reactor and the sockets of one virtual process.
+
+Protocols run unchanged: each process gets a :class:`VirtualHost` in place of
+the reactor.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+from typing import final
+
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import AlreadyCalled
+from twisted.internet.error import AlreadyCancelled
+from twisted.internet.error import CannotListenError
+from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.error import TimeoutError
+from twisted.internet.interfaces import IDelayedCall
+from twisted.internet.interfaces import IListeningPort
+from twisted.internet.interfaces import IReactorPluggableNameResolver
+from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from sycamorenotch_transport import LiteralResolver
+from sycamorenotch_workbench._virtual_network import Action
+from sycamorenotch_workbench._virtual_network import VirtualNetwork
+from sycamorenotch_workbench._virtual_transport import VirtualTransport
+
+
+@implementer(IDelayedCall)
+@final
+class VirtualCall:
+    """A delayed call of one host, which waits while the host is paused."""
+
+    def __init__(self, host: VirtualHost, function: Action) -> None:
+        self._host = host
+        self._function = function
+        self._done = False
+        self._cancelled = False
+        self._timer: Any = None
+
+    def schedule(self, delay: float) -> VirtualCall:
+        """Schedule the call after a delay in seconds."""
+        queue = self._host.network.queue
+        self._timer = queue.call_later(delay, lambda: self._host.run(self._fire))
+        return self
+
+    def _fire(self) -> None:
+        if not self._cancelled:
+            self._done = True
+            self._function()
+
+    def getTime(self) -> float:
+        """Return the time of the call."""
+        return float(self._timer.time)
+
+    def cancel(self) -> None:
+        """Cancel the call."""
+        self._check()
+        self._cancelled = True
+        if self._timer.active():
+            self._timer.cancel()
+
+    def delay(self, secondsLater: float) -> None:
+        """Delay the call further."""
+        self.reset(self.getTime() - self._host.seconds() + secondsLater)
+
+    def reset(self, secondsFromNow: float) -> None:
+        """Reschedule the call from now."""
+        self._check()
+        if self._timer.active():
+            self._timer.cancel()
+        self.schedule(secondsFromNow)
+
+    def active(self) -> bool:
+        """Return whether the call is still to be made."""
+        return not (self._done or self._cancelled)
+
+    def _check(self) -> None:
+        if self._cancelled:
+            raise AlreadyCancelled()
+        if self._done:
+            raise AlreadyCalled()
+
+
+@implementer(IListeningPort)
+@final
+class VirtualPort:
+    """A listening port of a host."""
+
+    def __init__(self, host: VirtualHost, address: str, port: int, factory: Any):
+        self.host = host
+        self.factory = factory
+        self._key = (address, port)
+
+    def startListening(self) -> None:
+        """Accept connections."""
+        if self._key in self.host.network.listeners:
+            raise CannotListenError(*self._key, OSError("address in use"))
+        self.host.network.listeners[self._key] = self
+        self.factory.doStart()
+
+    def stopListening(self) -> None:
+        """Accept no more connections."""
+        if self.host.network.listeners.pop(self._key, None) is self:
+            self.factory.doStop()
+
+    def getHost(self) -> IPv4Address:
+        """Return the address of the port."""
+        return IPv4Address("TCP", *self._key)
+
+
+@final
+class VirtualConnector:
+    """A connection attempt of a host."""
+
+    def __init__(
+        self, host: VirtualHost, destination: IPv4Address, factory: Any, timeout: float
+    ) -> None:
+        self._host = host
+        self._destination = destination
+        self._factory = factory
+        self._over = False
+        self._transport: VirtualTransport | None = None
+        self._timer = host.callLater(timeout, self._expire)
+
+    def connect(self) -> None:
+        """Start the attempt."""
+        self._factory.doStart()
+        self._factory.startedConnecting(self)
+        key = (self._destination.host, self._destination.port)
+        port = self._host.network.listeners.get(key)
+        network = self._host.network
+        if port is None:
+            # A refusal needs a round trip, and no host answers for the address.
+            network.send(self._host, self._host, self._refuse)
+            return
+        network.send(self._host, port.host, lambda: self._accept(key))
+
+    def _accept(self, key: tuple[str, int]) -> None:
+        port = self._host.network.listeners.get(key)
+        if port is None or port.host.dead:
+            self._host.run(self._refuse)
+            return
+        address = IPv4Address("TCP", self._host.address, self._host.next_port())
+        server = VirtualTransport(port.host, self._destination, address)
+        client = VirtualTransport(self._host, address, self._destination)
+        server.peer, client.peer = client, server
+        protocol = port.factory.buildProtocol(address)
+        if protocol is None:
+            self._host.run(self._refuse)
+            return
+        # The client is connected before the first data of the server arrives.
+        self._host.network.send(port.host, self._host, lambda: self._opened(client))
+        server.open(protocol)
+
+    def _opened(self, client: VirtualTransport) -> None:
+        if self._over:
+            client.abandon()
+            return
+        self._finish()
+        self._transport = client
+        client.connector = self
+        client.open(self._factory.buildProtocol(self._destination))
+
+    def _refuse(self) -> None:
+        self._fail(ConnectionRefusedError())
+
+    def _expire(self) -> None:
+        self._fail(TimeoutError())
+
+    def _fail(self, exc: Exception) -> None:
+        if not self._over:
+            self._finish()
+            self._factory.clientConnectionFailed(self, Failure(exc))
+
+    def _finish(self) -> None:
+        self._over = True
+        if self._timer.active():
+            self._timer.cancel()
+
+    def closed(self, reason: Failure) -> None:
+        """Tell the factory that the connection was lost."""
+        self._factory.clientConnectionLost(self, reason)
+
+    def stopConnecting(self) -> None:
+        """Give up the attempt."""
+        self._fail(TimeoutError())
+
+    def disconnect(self) -> None:
+        """Close the connection or give up the attempt."""
+        if self._transport is not None:
+            self._transport.loseConnection()
+        else:
+            self.stopConnecting()
+
+    def getDestination(self) -> IPv4Address:
+        """Return the address that is connected to."""
+        return self._destination
+
+
+@implementer(IReactorTime, IReactorTCP, IReactorPluggableNameResolver)
+@final
+class VirtualHost:
+    """The reactor of one virtual process.
+
+    :param place: where the process runs, for latencies and cuts.
+    :param address: IP number of its outgoing connections.
+    """
+
+    def __init__(self, network: VirtualNetwork, place: str, address: str) -> None:
+        self.network = network
+        self.place = place
+        self.address = address
+        self.dead = False
+        self.nameResolver = LiteralResolver()
+        self._paused = False
+        self._backlog: list[Action] = []
+        self._ports: list[VirtualPort] = []
+        self._last_port = 40_000
+        self.transports: dict[VirtualTransport, None] = {}
+
+    def seconds(self) -> float:
+        """Return the virtual time."""
+        return self.network.queue.seconds()
+
+    def callLater(
+        self, delay: float, callable: Callable[..., object], *args: Any, **kw: Any
+    ) -> VirtualCall:
+        """Run a function later on this host."""
+        call = VirtualCall(self, lambda: callable(*args, **kw) and None)
+        return call.schedule(delay)
+
+    def getDelayedCalls(self) -> list[Any]:
+        """Return no calls; they belong to the network's queue."""
+        return []
+
+    def installNameResolver(self, resolver: Any) -> Any:
+        """Replace the name resolver."""
+        old, self.nameResolver = self.nameResolver, resolver
+        return old
+
+    def run(self, action: Action) -> None:
+        """Run an action now, after a pause, or never if the process died."""
+        if self.dead:
+            return
+        if self._paused:
+            self._backlog.append(action)
+            return
+        action()
+
+    def pause(self) -> None:
+        """Stop the process from running; its clocks go on."""
+        self._paused = True
+
+    def resume(self) -> None:
+        """Run what became due during the pause, in order."""
+        self._paused = False
+        backlog, self._backlog = self._backlog, []
+        for action in backlog:
+            self.run(action)
+
+    def kill(self) -> None:
+        """End the process; its peers see their connections lost."""
+        for port in list(self._ports):
+            port.stopListening()
+        for transport in list(self.transports):
+            transport.abandon()
+        self.dead = True
+
+    def next_port(self) -> int:
+        """Return a port for an outgoing connection."""
+        self._last_port += 1
+        return self._last_port
+
+    def listenTCP(
+        self, port: int, factory: Any, backlog: int = 50, interface: str = ""
+    ) -> VirtualPort:
+        """Listen on an address."""
+        listening = VirtualPort(self, interface, port, factory)
+        listening.startListening()
+        self._ports.append(listening)
+        return listening
+
+    def connectTCP(
+        self,
+        host: str,
+        port: int,
+        factory: Any,
+        timeout: float = 30,
+        bindAddress: tuple[str, int] | None = None,
+    ) -> VirtualConnector:
+        """Connect to an address."""
+        destination = IPv4Address("TCP", host, port)
+        connector = VirtualConnector(self, destination, factory, timeout)
+        connector.connect()
+        return connector
--- a/packages/workbench/src/sycamorenotch_workbench/_virtual_system.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_virtual_system.py
@@ -34,7 +34,7 @@
 from sycamorenotch_standins import UpstreamWorker
 from sycamorenotch_transport import BytesProducer
 from sycamorenotch_workbench._example import ENVIRONMENT
-from sycamorenotch_workbench._virtual_network import VirtualHost
+from sycamorenotch_workbench._virtual_host import VirtualHost
 from sycamorenotch_workbench._virtual_network import VirtualNetwork
 
 STORE_ADDRESS = "10.250.0.1"
--- a/packages/workbench/src/sycamorenotch_workbench/_virtual_transport.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_virtual_transport.py
@@ -18,8 +18,8 @@
 from zope.interface import implementer
 
 if TYPE_CHECKING:
-    from sycamorenotch_workbench._virtual_network import VirtualConnector
-    from sycamorenotch_workbench._virtual_network import VirtualHost
+    from sycamorenotch_workbench._virtual_host import VirtualConnector
+    from sycamorenotch_workbench._virtual_host import VirtualHost
 
 
 @implementer(ITCPTransport, IPushProducer)
