Send each header of an answer once

Cause: the server's own Server and Date stood beside the upstream's in every answer to a call. Change: headers that the upstream sets replace the server's. Conclusion: callers see the upstream's headers as it sent them.

--- a/packages/daemon/src/sycamorenotch_daemon/_callers.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_callers.py
@@ -212,6 +212,9 @@
 
 def _write_answer(req: Request, answer: CallAnswer, decision: DecisionId) -> bytes:
     req.setResponseCode(answer.status)
+    # The server sets a date and a name of its own, which the upstream's replace.
+    for name, _ in answer.headers:
+        req.responseHeaders.removeHeader(name)
     for name, value in answer.headers:
         req.responseHeaders.addRawHeader(name, value)
     req.setHeader("Decision-Id", decision)
--- a/testing/workbench/test_example.py
+++ b/testing/workbench/test_example.py
@@ -73,3 +73,16 @@
         assert (response.code, problem["kind"], problem["ran"]) == (status, kind, "no")
 
     run_in_reactor(scenario())
+
+
+def test_answer_has_each_header_once_when_upstream_sets_what_the_server_sets(
+    example: LocalExample, run_in_reactor: Callable[..., Any]
+) -> None:
+    async def scenario() -> None:
+        callers = example.describe()["callers"][0]
+        response = await treq.get(f"{callers}/v1/call/balance/balances/1")
+        await treq.content(response)
+        for name in ("Server", "Date", "Content-Type", "Decision-Id"):
+            assert len(response.headers.getRawHeaders(name)) == 1, name
+
+    run_in_reactor(scenario())
