--- a/packages/workbench/src/sycamorenotch_workbench/_virtual_host.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_virtual_host.py
@@ -11,6 +11,8 @@
 from typing import final
 
 from twisted.internet.address import IPv4Address
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import succeed
 from twisted.internet.error import AlreadyCalled
 from twisted.internet.error import AlreadyCancelled
 from twisted.internet.error import CannotListenError
@@ -103,10 +105,11 @@
         self.host.network.listeners[self._key] = self
         self.factory.doStart()
 
-    def stopListening(self) -> None:
+    def stopListening(self) -> Deferred[None]:
         """Accept no more connections."""
         if self.host.network.listeners.pop(self._key, None) is self:
             self.factory.doStop()
+        return succeed(None)
 
     def getHost(self) -> IPv4Address:
         """Return the address of the port."""
