Add types, ports and HTTP/1.1 connections for transparent forwarding

The callers' front end and the upstream client of the daemon add headers of their own, cannot say whether bytes of a failed request left, and do not cancel with the caller. h11 parses on both sides; Twisted moves the bytes.

--- a/packages/daemon/src/sycamorenotch_daemon/_calls.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_calls.py
@@ -13,7 +13,6 @@
 from sycamorenotch_daemon._events import CallAnswered
 from sycamorenotch_daemon._events import CallRefused
 from sycamorenotch_daemon._node import Node
-from sycamorenotch_daemon._ordering import ordered
 from sycamorenotch_kernel import Call
 from sycamorenotch_kernel import CallResult
 from sycamorenotch_kernel import CallStage
@@ -24,6 +23,7 @@
 from sycamorenotch_kernel import Proceed
 from sycamorenotch_kernel import call_stages
 from sycamorenotch_kernel import components
+from sycamorenotch_kernel import ordered
 
 CallObserver = Callable[[Call, CallResult, timedelta], None]
 
--- a/packages/daemon/src/sycamorenotch_daemon/_daemon.py
+++ b/packages/daemon/src/sycamorenotch_daemon/_daemon.py
@@ -9,8 +9,8 @@
 from sycamorenotch_daemon._events import DaemonStopping
 from sycamorenotch_daemon._node import Component
 from sycamorenotch_daemon._node import Node
-from sycamorenotch_daemon._ordering import ordered
 from sycamorenotch_kernel import components
+from sycamorenotch_kernel import ordered
 
 
 @final
--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -50,6 +50,28 @@
 from sycamorenotch_kernel._events import Severity
 from sycamorenotch_kernel._events import event
 from sycamorenotch_kernel._events import events
+from sycamorenotch_kernel._feeds import Batch
+from sycamorenotch_kernel._feeds import FeedError
+from sycamorenotch_kernel._feeds import FeedFault
+from sycamorenotch_kernel._feeds import Item
+from sycamorenotch_kernel._feeds import ObjectFeed
+from sycamorenotch_kernel._feeds import Topic
+from sycamorenotch_kernel._forwarding import FAILED_STATUS
+from sycamorenotch_kernel._forwarding import NOT_RUN_STATUS
+from sycamorenotch_kernel._forwarding import ClientLimits
+from sycamorenotch_kernel._forwarding import ForwardCall
+from sycamorenotch_kernel._forwarding import ForwardingConfiguration
+from sycamorenotch_kernel._forwarding import ForwardingRoute
+from sycamorenotch_kernel._forwarding import LoadReport
+from sycamorenotch_kernel._forwarding import PeerEntry
+from sycamorenotch_kernel._forwarding import Placement
+from sycamorenotch_kernel._forwarding import Refusal
+from sycamorenotch_kernel._forwarding import RequestKind
+from sycamorenotch_kernel._forwarding import ServiceLimits
+from sycamorenotch_kernel._forwarding import Verdict
+from sycamorenotch_kernel._forwarding import WeightedService
+from sycamorenotch_kernel._forwarding import WorkerEntry
+from sycamorenotch_kernel._forwarding import WorkerReply
 from sycamorenotch_kernel._identifiers import IDENTIFIER_BITS
 from sycamorenotch_kernel._identifiers import AttemptId
 from sycamorenotch_kernel._identifiers import DecisionId
@@ -68,6 +90,7 @@
 from sycamorenotch_kernel._messages import Piece
 from sycamorenotch_kernel._messages import Rumour
 from sycamorenotch_kernel._messages import message
+from sycamorenotch_kernel._ordering import ordered
 from sycamorenotch_kernel._plan import Grant
 from sycamorenotch_kernel._plan import OutstandingGrant
 from sycamorenotch_kernel._plan import Plan
@@ -97,17 +120,21 @@
 from sycamorenotch_kernel._registries import claim_steps
 from sycamorenotch_kernel._registries import commands
 from sycamorenotch_kernel._registries import components
+from sycamorenotch_kernel._registries import dialects
 from sycamorenotch_kernel._registries import document_sections
 from sycamorenotch_kernel._registries import error_answers
 from sycamorenotch_kernel._registries import front_ends
+from sycamorenotch_kernel._registries import gateway_components
 from sycamorenotch_kernel._registries import health_signals
 from sycamorenotch_kernel._registries import message_types
+from sycamorenotch_kernel._registries import object_feeds
 from sycamorenotch_kernel._registries import operator_endpoints
 from sycamorenotch_kernel._registries import reports
 from sycamorenotch_kernel._registries import retry_rules
 from sycamorenotch_kernel._registries import steering_policies
 from sycamorenotch_kernel._registries import store_adapters
 from sycamorenotch_kernel._registries import upstream_choices
+from sycamorenotch_kernel._registries import worker_choices
 from sycamorenotch_kernel._registry import DuplicateNameError
 from sycamorenotch_kernel._registry import Registry
 from sycamorenotch_kernel._registry import RegistryEntry
@@ -119,13 +146,16 @@
     "ALARM_WINDOWS",
     "ANSWERS",
     "DEFAULT_RECORD_LIMIT",
+    "FAILED_STATUS",
     "IDENTIFIER_BITS",
+    "NOT_RUN_STATUS",
     "PLUGIN_GROUP",
     "REGISTRIES",
     "WINDOW_LENGTHS",
     "Answer",
     "Attempt",
     "AttemptId",
+    "Batch",
     "Bounds",
     "BurnAlarm",
     "BurnCounts",
@@ -137,6 +167,7 @@
     "CallStage",
     "Cancellable",
     "Changes",
+    "ClientLimits",
     "Clock",
     "ConfigurationPush",
     "ConfigurationRequest",
@@ -156,6 +187,11 @@
     "EventSink",
     "Fact",
     "Failure",
+    "FeedError",
+    "FeedFault",
+    "ForwardCall",
+    "ForwardingConfiguration",
+    "ForwardingRoute",
     "Grant",
     "Headers",
     "Heartbeat",
@@ -167,16 +203,21 @@
     "InvariantError",
     "InvariantMonitor",
     "InvariantViolated",
+    "Item",
     "Link",
     "ListedInstance",
     "ListingPush",
     "ListingRequest",
+    "LoadReport",
     "ManualClock",
     "MemberState",
     "Message",
+    "ObjectFeed",
     "Objective",
     "OutstandingGrant",
+    "PeerEntry",
     "Piece",
+    "Placement",
     "Plan",
     "PlanRoute",
     "Proceed",
@@ -184,15 +225,18 @@
     "Rank",
     "RankPolicy",
     "RecentDecisions",
+    "Refusal",
     "Region",
     "RegionShare",
     "Registry",
     "RegistryEntry",
     "RegistryError",
+    "RequestKind",
     "Route",
     "Rumour",
     "Scheduler",
     "Service",
+    "ServiceLimits",
     "Severity",
     "Shift",
     "ShiftCause",
@@ -201,29 +245,39 @@
     "StoreError",
     "StoreFault",
     "StoredObject",
+    "Topic",
     "UnknownNameError",
+    "Verdict",
     "Version",
+    "WeightedService",
     "Worker",
+    "WorkerEntry",
+    "WorkerReply",
     "admission_disciplines",
     "call_stages",
     "claim_steps",
     "commands",
     "components",
+    "dialects",
     "document_sections",
     "error_answers",
     "event",
     "events",
     "front_ends",
+    "gateway_components",
     "health_signals",
     "import_private_modules",
     "load_plugins",
     "message",
     "message_types",
+    "object_feeds",
     "operator_endpoints",
+    "ordered",
     "raised_alarms",
     "reports",
     "retry_rules",
     "steering_policies",
     "store_adapters",
     "upstream_choices",
+    "worker_choices",
 ]
--- a/packages/daemon/src/sycamorenotch_daemon/_ordering.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_ordering.py
@@ -6,7 +6,7 @@
 from typing import Any
 from typing import TypeVar
 
-from sycamorenotch_kernel import Registry
+from sycamorenotch_kernel._registry import Registry
 
 T = TypeVar("T")
 
--- a/packages/kernel/src/sycamorenotch_kernel/_registries.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_registries.py
@@ -23,6 +23,10 @@
 operator_endpoints: Registry[Any] = Registry("operator endpoint")
 reports: Registry[Any] = Registry("report")
 error_answers: Registry[Any] = Registry("error answer")
+object_feeds: Registry[Any] = Registry("object feed")
+dialects: Registry[Any] = Registry("dialect")
+gateway_components: Registry[Any] = Registry("gateway component")
+worker_choices: Registry[Any] = Registry("worker choice")
 
 REGISTRIES: tuple[Registry[Any], ...] = (
     steering_policies,
@@ -42,4 +46,8 @@
     reports,
     events,
     error_answers,
+    object_feeds,
+    dialects,
+    gateway_components,
+    worker_choices,
 )
--- a/packages/transport/src/sycamorenotch_transport/__init__.py
+++ b/packages/transport/src/sycamorenotch_transport/__init__.py
@@ -1,21 +1,77 @@
-"""Twisted listeners and name resolution shared by the programs."""
+"""Twisted listeners, HTTP/1.1 connections and name resolution for the programs."""
 
 from __future__ import annotations
 
-from sycamorenotch_transport._bodies import BytesProducer
-from sycamorenotch_transport._bounded_http import RequestBounds
-from sycamorenotch_transport._bounded_http import WireAnswer
-from sycamorenotch_transport._bounded_http import WireProblem
-from sycamorenotch_transport._listeners import HttpListener
-from sycamorenotch_transport._resolver import LiteralResolver
-from sycamorenotch_transport._resolver import install_literal_resolver
+from importlib import import_module
+from typing import TYPE_CHECKING
+from typing import Any
+
+if TYPE_CHECKING:
+    from sycamorenotch_transport._background import Background
+    from sycamorenotch_transport._background import Turn
+    from sycamorenotch_transport._bodies import BytesProducer
+    from sycamorenotch_transport._bounded_http import RequestBounds
+    from sycamorenotch_transport._bounded_http import WireAnswer
+    from sycamorenotch_transport._bounded_http import WireProblem
+    from sycamorenotch_transport._http1_client import ExchangeError
+    from sycamorenotch_transport._http1_client import Http1Pool
+    from sycamorenotch_transport._http1_messages import HeaderPairs
+    from sycamorenotch_transport._http1_messages import HttpBounds
+    from sycamorenotch_transport._http1_messages import HttpRequest
+    from sycamorenotch_transport._http1_messages import HttpResponse
+    from sycamorenotch_transport._http1_messages import header
+    from sycamorenotch_transport._http1_messages import without_connection_headers
+    from sycamorenotch_transport._http1_server import Http1Server
+    from sycamorenotch_transport._listeners import HttpListener
+    from sycamorenotch_transport._resolver import LiteralResolver
+    from sycamorenotch_transport._resolver import install_literal_resolver
+
+# A process loads only the modules it uses: the parser of the operators' and
+# callers' listeners is not loaded by a gateway, nor the other way round.
+_MODULES = {
+    "Background": "_background",
+    "Turn": "_background",
+    "BytesProducer": "_bodies",
+    "ExchangeError": "_http1_client",
+    "HeaderPairs": "_http1_messages",
+    "Http1Pool": "_http1_client",
+    "Http1Server": "_http1_server",
+    "HttpBounds": "_http1_messages",
+    "HttpListener": "_listeners",
+    "HttpRequest": "_http1_messages",
+    "HttpResponse": "_http1_messages",
+    "LiteralResolver": "_resolver",
+    "RequestBounds": "_bounded_http",
+    "WireAnswer": "_bounded_http",
+    "WireProblem": "_bounded_http",
+    "header": "_http1_messages",
+    "install_literal_resolver": "_resolver",
+    "without_connection_headers": "_http1_messages",
+}
 
 __all__ = [
+    "Background",
     "BytesProducer",
+    "ExchangeError",
+    "HeaderPairs",
+    "Http1Pool",
+    "Http1Server",
+    "HttpBounds",
     "HttpListener",
+    "HttpRequest",
+    "HttpResponse",
     "LiteralResolver",
     "RequestBounds",
+    "Turn",
     "WireAnswer",
     "WireProblem",
+    "header",
     "install_literal_resolver",
+    "without_connection_headers",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(f"{__name__}.{_MODULES[name]}"), name)
--- /dev/null
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -0,0 +1,371 @@
+"""An HTTP/1.1 client that says what became of a request that failed."""
+
+from __future__ import annotations
+
+import re
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from typing import final
+
+import h11
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import ClientFactory
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from sycamorenotch_transport._http1_messages import HttpRequest
+from sycamorenotch_transport._http1_messages import HttpResponse
+from sycamorenotch_transport._http1_messages import decode_headers
+from sycamorenotch_transport._http1_messages import encode_headers
+from sycamorenotch_transport._http1_messages import header
+from sycamorenotch_transport._sockets import detect_silence
+
+HEAD_BYTES = 65_536
+# Longest answer that is held until it is whole.
+ANSWER_BYTES = 33_554_432
+KEEP_ALIVE = re.compile(r"timeout=(\d+)")
+# A server may close at the moment its timeout ends, a round trip away.
+KEEP_ALIVE_MARGIN_S = 1.0
+# Idle time within which a connection is used again if the server names none.
+DEFAULT_REUSE_S = 4.0
+IDLE_CONNECTIONS = 16
+
+Belongs = Callable[[HttpResponse], bool]
+
+
+@final
+class ExchangeError(Exception):
+    """An exchange ended without a whole answer.
+
+    :param sent: whether any byte of the request may have reached the server.
+    :param connected: whether there was a connection.
+    :param reused: whether the connection had served another request before.
+    :param began: whether any byte of an answer arrived.
+    """
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        sent: bool,
+        connected: bool,
+        reused: bool = False,
+        began: bool = False,
+    ) -> None:
+        super().__init__(detail)
+        self.sent = sent
+        self.connected = connected
+        self.reused = reused
+        self.began = began
+
+
+def _always(response: HttpResponse) -> bool:
+    return True
+
+
+@final
+class ClientConnection(Protocol):
+    """One connection to a server, with at most one request at a time."""
+
+    def __init__(self, done: Callable[[ClientConnection], None]) -> None:
+        self._done = done
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
+        self._waiting: Deferred[HttpResponse] | None = None
+        self._belongs: Belongs = _always
+        self._sent_head: h11.Request | None = None
+        self._head: h11.Response | None = None
+        self._body: list[bytes] = []
+        self._size = 0
+        self.served = 0
+        self.reuse_s = DEFAULT_REUSE_S
+        self.idle_since = 0.0
+        self.usable = True
+        self._began = False
+
+    def connectionMade(self) -> None:
+        """Set the options of the socket."""
+        detect_silence(self.transport)
+
+    def exchange(
+        self, request: HttpRequest, belongs: Belongs
+    ) -> Deferred[HttpResponse]:
+        """Send a request.
+
+        Cancelling the result closes the connection at once.
+
+        :param belongs: whether an answer is one to this request; others are
+            dropped.
+        """
+        self._belongs = belongs
+        self._began = False
+        waiting: Deferred[HttpResponse] = Deferred(lambda _: self._abort())
+        self._waiting = waiting
+        try:
+            self._sent_head = _encode_head(request)
+            out = [self._http.send(self._sent_head)]
+            if request.body:
+                out.append(self._http.send(h11.Data(data=request.body)))
+            out.append(self._http.send(h11.EndOfMessage()))
+        except h11.LocalProtocolError as exc:
+            self._fail(f"the request cannot be encoded: {exc}", sent=False)
+            return waiting
+        self.transport.write(b"".join(filter(None, out)))
+        return waiting
+
+    def dataReceived(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self._waiting is None:
+            # No request waits, so that these bytes belong to none.
+            self.drop()
+            return
+        self._began = True
+        self._http.receive_data(data)
+        self._parse()
+
+    def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
+        """End an unframed answer, or fail the exchange."""
+        self.usable = False
+        if self._waiting is not None and reason.check(ConnectionDone) is not None:
+            self._http.receive_data(b"")
+            self._parse()
+        self._fail(reason.getErrorMessage(), sent=True)
+        self._done(self)
+
+    def drop(self) -> None:
+        """Close at once; the connection is not used again."""
+        self.usable = False
+        self.transport.abortConnection()
+
+    def _abort(self) -> None:
+        self._waiting = None
+        self.drop()
+
+    def _parse(self) -> None:
+        try:
+            while self._waiting is not None:
+                item = self._http.next_event()
+                if item is h11.NEED_DATA or item is h11.PAUSED:
+                    return
+                if isinstance(item, h11.ConnectionClosed):
+                    return
+                self._take(item)
+        except h11.RemoteProtocolError as exc:
+            self._fail(f"malformed answer: {exc}", sent=True)
+            self.drop()
+
+    def _take(self, item: Any) -> None:
+        if isinstance(item, h11.Response):
+            self._head = item
+            self._body = []
+            self._size = 0
+        elif isinstance(item, h11.Data):
+            self._body.append(bytes(item.data))
+            self._size += len(item.data)
+            if self._size > ANSWER_BYTES:
+                self._fail("the answer is too large", sent=True)
+                self.drop()
+        elif isinstance(item, h11.EndOfMessage):
+            self._finish()
+
+    def _finish(self) -> None:
+        head = self._head
+        assert head is not None
+        response = HttpResponse(
+            head.status_code,
+            decode_headers(head.headers.raw_items()),
+            b"".join(self._body),
+            bytes(head.reason).decode("latin-1"),
+        )
+        if not self._belongs(response):
+            self._expect_another()
+            return
+        waiting, self._waiting = self._waiting, None
+        self._body = []
+        self.served += 1
+        self._settle(response)
+        self._done(self)
+        if waiting is not None:
+            waiting.callback(response)
+
+    def _settle(self, response: HttpResponse) -> None:
+        """Decide whether the connection can carry another request."""
+        found = KEEP_ALIVE.search(header(response.headers, "keep-alive"))
+        if found is not None:
+            self.reuse_s = float(found.group(1)) - KEEP_ALIVE_MARGIN_S
+        extra, _ = self._http.trailing_data
+        if extra or not self.usable:
+            self.drop()
+            return
+        try:
+            self._http.start_next_cycle()
+        except h11.LocalProtocolError:
+            self.usable = False
+            self.transport.loseConnection()
+
+    def _expect_another(self) -> None:
+        """Drop an answer to some other request and wait for the right one."""
+        self.usable = False
+        extra, closed = self._http.trailing_data
+        fresh = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
+        assert self._sent_head is not None
+        # The parser needs to know of the request; its bytes are out already.
+        fresh.send(
+            h11.Request(
+                method=self._sent_head.method, target="/", headers=[("Host", "h")]
+            )
+        )
+        fresh.send(h11.EndOfMessage())
+        self._http = fresh
+        if extra:
+            fresh.receive_data(extra)
+        if closed:
+            fresh.receive_data(b"")
+
+    def _fail(self, detail: str, *, sent: bool) -> None:
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None:
+            waiting.errback(
+                ExchangeError(
+                    detail,
+                    sent=sent,
+                    connected=True,
+                    reused=self.served > 0,
+                    began=self._began,
+                )
+            )
+
+
+def _encode_head(request: HttpRequest) -> h11.Request:
+    headers = request.headers
+    framed = any(
+        k.lower() in ("content-length", "transfer-encoding") for k, _ in headers
+    )
+    if request.body and not framed:
+        headers = (*headers, ("Content-Length", str(len(request.body))))
+    return h11.Request(
+        method=request.method.encode("latin-1"),
+        target=request.target.encode("latin-1"),
+        headers=encode_headers(headers),
+    )
+
+
+@final
+class _Connector(ClientFactory):
+    noisy = False
+
+    def __init__(self, result: Deferred[ClientConnection], pool: Http1Pool) -> None:
+        self._result = result
+        self._pool = pool
+
+    def buildProtocol(self, addr: Any) -> Protocol:
+        connection = ClientConnection(self._pool.give_back)
+        made = connection.connectionMade
+
+        def connection_made() -> None:
+            made()
+            if self._result.called:
+                connection.drop()
+            else:
+                self._result.callback(connection)
+
+        connection.connectionMade = connection_made  # type: ignore[method-assign]
+        return connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        if not self._result.called:
+            detail = reason.getErrorMessage()
+            self._result.errback(ExchangeError(detail, sent=False, connected=False))
+
+
+@final
+@dataclass(slots=True)
+class PoolCounts:
+    """What a pool has done since it was made."""
+
+    opened: int = 0
+    reused: int = 0
+
+
+@final
+class Http1Pool:
+    """Connections to one server, the one used last first.
+
+    :param clock: seconds on the monotonic clock.
+    """
+
+    def __init__(self, reactor: Any, address: str, clock: Callable[[], float]) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        host, _, port = address.rpartition(":")
+        self._host, self._port = host, int(port)
+        self._idle: deque[ClientConnection] = deque()
+        self.counts = PoolCounts()
+        self._closed = False
+
+    async def exchange(
+        self,
+        request: HttpRequest,
+        connect_s: float,
+        belongs: Belongs = _always,
+        reuse_s: float = 1e9,
+    ) -> HttpResponse:
+        """Send a request and wait for the whole answer.
+
+        :param connect_s: bound on opening a connection.
+        :param reuse_s: longest idle time of a connection that may be used.
+        :raises ExchangeError: if no whole answer arrives.
+        """
+        connection = self._take_idle(reuse_s)
+        if connection is None:
+            connection = await self._open(connect_s)
+            self.counts.opened += 1
+        else:
+            self.counts.reused += 1
+        return await connection.exchange(request, belongs)
+
+    def close(self) -> None:
+        """Close the idle connections; those in use are closed when they end."""
+        self._closed = True
+        while self._idle:
+            self._idle.pop().drop()
+
+    def prune(self) -> None:
+        """Close connections that are idle for too long to be used again."""
+        now = self._clock()
+        for connection in tuple(self._idle):
+            if now - connection.idle_since >= connection.reuse_s:
+                self._idle.remove(connection)
+                connection.drop()
+
+    def give_back(self, connection: ClientConnection) -> None:
+        """Take a connection whose exchange has ended."""
+        if connection.usable and not self._closed:
+            connection.idle_since = self._clock()
+            self._idle.append(connection)
+            while len(self._idle) > IDLE_CONNECTIONS:
+                self._idle.popleft().drop()
+            return
+        if connection in self._idle:
+            self._idle.remove(connection)
+        if connection.usable:
+            connection.drop()
+
+    def _take_idle(self, reuse_s: float) -> ClientConnection | None:
+        now = self._clock()
+        while self._idle:
+            connection = self._idle.pop()
+            idle = now - connection.idle_since
+            if connection.usable and idle < min(reuse_s, connection.reuse_s):
+                return connection
+            connection.drop()
+        return None
+
+    def _open(self, connect_s: float) -> Deferred[ClientConnection]:
+        result: Deferred[ClientConnection] = Deferred(lambda _: connector.disconnect())
+        connector = self._reactor.connectTCP(
+            self._host, self._port, _Connector(result, self), connect_s
+        )
+        return result
