Decide routes, owners of objects, shares of retries and who lives

Pure decisions for the gateway: route by host and longest prefix, weighted services, a few owners for each object by rendezvous hash with bounded load, one instance that feeds a cold worker, a share of the retry budget, liveness from datagrams, answers to look-ups. Tests: testing/policies.

--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -70,6 +70,10 @@
 from sycamorenotch_policies._lease import WriteLease
 from sycamorenotch_policies._lease import lease_candidates
 from sycamorenotch_policies._ledger import ShiftLedger
+from sycamorenotch_policies._liveness import Beat
+from sycamorenotch_policies._liveness import Liveness
+from sycamorenotch_policies._liveness import beat_interval_s
+from sycamorenotch_policies._liveness import lookup_answer
 from sycamorenotch_policies._lookup import LookupAnswer
 from sycamorenotch_policies._lookup import LookupTable
 from sycamorenotch_policies._measurements import Assessment
@@ -97,6 +101,11 @@
 from sycamorenotch_policies._retry import Retry
 from sycamorenotch_policies._retry import RetryDecision
 from sycamorenotch_policies._retry import RetryRule
+from sycamorenotch_policies._retry_allowance import RetryAllowance
+from sycamorenotch_policies._retry_allowance import RetryTerms
+from sycamorenotch_policies._route_table import RouteTable
+from sycamorenotch_policies._route_table import pick_service
+from sycamorenotch_policies._route_table import unit_interval
 from sycamorenotch_policies._steering import make_plan
 from sycamorenotch_policies._steering_view import Demand
 from sycamorenotch_policies._steering_view import InstanceContact
@@ -104,6 +113,12 @@
 from sycamorenotch_policies._steering_view import PlanDecision
 from sycamorenotch_policies._steering_view import SteeringView
 from sycamorenotch_policies._steering_view import WorkerReport
+from sycamorenotch_policies._worker_book import WorkerBook
+from sycamorenotch_policies._worker_book import WorkerView
+from sycamorenotch_policies._worker_choice import Chosen
+from sycamorenotch_policies._worker_choice import NoRoom
+from sycamorenotch_policies._worker_choice import Wanted
+from sycamorenotch_policies._worker_choice import WorkerChoice
 from sycamorenotch_policies._worker_state import LoadReport
 from sycamorenotch_policies._worker_state import WorkerState
 from sycamorenotch_policies._worker_table import ChoiceSetup
@@ -120,10 +135,12 @@
     "AdmissionSetup",
     "Admitted",
     "Assessment",
+    "Beat",
     "BlockTable",
     "BudgetedRetry",
     "Choice",
     "ChoiceSetup",
+    "Chosen",
     "Claim",
     "ClaimCommand",
     "ClaimConflict",
@@ -163,6 +180,7 @@
     "LeaseMissing",
     "LeaseRecord",
     "LeaseWritten",
+    "Liveness",
     "LoadReport",
     "LookupAnswer",
     "LookupTable",
@@ -171,6 +189,7 @@
     "Moment",
     "NearestRegion",
     "NeverRetry",
+    "NoRoom",
     "Outcome",
     "PeerNews",
     "PlainRetry",
@@ -183,9 +202,12 @@
     "RecordedAnswer",
     "Refused",
     "Retry",
+    "RetryAllowance",
     "RetryDecision",
     "RetryRule",
+    "RetryTerms",
     "RoundRobin",
+    "RouteTable",
     "ShiftLedger",
     "Signature",
     "SteeringView",
@@ -196,24 +218,32 @@
     "UnlimitedAdmission",
     "UpstreamChoice",
     "WaitForClaim",
+    "Wanted",
     "WindowedCounts",
+    "WorkerBook",
+    "WorkerChoice",
     "WorkerReport",
     "WorkerState",
     "WorkerTable",
+    "WorkerView",
     "WriteClaim",
     "WriteLease",
     "apportion",
     "assess",
+    "beat_interval_s",
     "excess_grants",
     "excess_links",
     "excess_shifts",
     "fingerprint",
     "lease_candidates",
+    "lookup_answer",
     "make_plan",
     "neighbours",
+    "pick_service",
     "regrant",
     "sign_request",
     "successor",
+    "unit_interval",
     "watchers",
     "worker_quotas",
 ]
--- /dev/null
+++ b/packages/policies/src/sycamorenotch_policies/_route_table.py
@@ -0,0 +1,55 @@
+"""Finds the route of a request and the service that its weights give."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import final
+
+from sycamorenotch_kernel import ForwardingConfiguration
+from sycamorenotch_kernel import ForwardingRoute
+
+HASH_BYTES = 8
+HASH_RANGE = float(2 ** (8 * HASH_BYTES))
+
+
+def unit_interval(*parts: str) -> float:
+    """Hash texts to a number of at least 0 and less than 1."""
+    digest = blake2b("|".join(parts).encode(), digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest, "big") / HASH_RANGE
+
+
+@final
+class RouteTable:
+    """The routes of one configuration, by host and longest prefix."""
+
+    def __init__(self, configuration: ForwardingConfiguration) -> None:
+        self.configuration = configuration
+        self._hosts: dict[str, list[ForwardingRoute]] = {}
+        for route in configuration.routes:
+            self._hosts.setdefault(route.host.lower(), []).append(route)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def match(self, host: str, path: str) -> ForwardingRoute | None:
+        """Return the route of the longest prefix that begins the path.
+
+        :param host: value of the host header; a port is ignored.
+        """
+        routes = self._hosts.get(host.lower())
+        if routes is None:
+            routes = self._hosts.get(host.lower().partition(":")[0], [])
+        return next((r for r in routes if path.startswith(r.prefix)), None)
+
+
+def pick_service(route: ForwardingRoute, draw: float) -> str:
+    """Return the service that a draw falls to.
+
+    :param draw: uniform number of at least 0 and less than 1.
+    """
+    total = sum(part.weight for part in route.services)
+    left = draw * total
+    for part in route.services:
+        left -= part.weight
+        if left < 0:
+            return part.service
+    return route.services[-1].service
--- /dev/null
+++ b/testing/policies/test_liveness.py
@@ -0,0 +1,82 @@
+"""Tests of who lives and of the answers to look-ups."""
+
+from __future__ import annotations
+
+import pytest
+
+from sycamorenotch_kernel import PeerEntry
+from sycamorenotch_policies import Beat
+from sycamorenotch_policies import Liveness
+from sycamorenotch_policies import lookup_answer
+
+
+def peer(name: str, place: str = "a", started: int = 1, leaving: bool = False):
+    region = {"a": "west", "b": "west", "c": "east"}[place]
+    return PeerEntry(name, region, place, f"{name}:1", f"{name}:2", started, leaving)
+
+
+def beat(name: str, sequence: int = 1, **changes) -> Beat:
+    ready = changes.pop("ready", True)
+    return Beat(peer(name, **changes), sequence, ready)
+
+
+@pytest.fixture
+def liveness() -> Liveness:
+    return Liveness("me")
+
+
+def test_entry_of_the_store_is_no_sign_of_life(liveness) -> None:
+    liveness.know([peer("x")])
+    assert liveness.live(0.0) == ()
+    assert [entry.id for entry in liveness.contacts()] == ["x"]
+
+
+def test_instance_is_live_until_it_falls_silent(liveness) -> None:
+    liveness.hear(beat("x"), 0.0)
+    assert [entry.id for entry in liveness.live(1.0)] == ["x"]
+    assert liveness.live(10.0) == ()
+    assert liveness.lost(10.0) == ("x",)
+
+
+def test_leaving_instance_is_not_named(liveness) -> None:
+    liveness.hear(beat("x"), 0.0)
+    liveness.hear(beat("x", 2, leaving=True), 0.1)
+    assert liveness.serving(0.1) == ()
+
+
+def test_late_datagram_does_not_bring_back_a_leaving_instance(liveness) -> None:
+    liveness.hear(beat("x", 2, leaving=True), 0.0)
+    liveness.hear(beat("x", 1), 0.1)
+    assert liveness.live(0.1) == ()
+
+
+def test_restarted_instance_is_live_although_its_sequence_is_lower(liveness) -> None:
+    liveness.hear(beat("x", 50, leaving=True), 0.0)
+    liveness.hear(beat("x", 1, started=2), 0.1)
+    assert [entry.id for entry in liveness.live(0.1)] == ["x"]
+
+
+def test_exactly_one_instance_owns_a_key_when_all_hear_each_other() -> None:
+    names = ["i1", "i2", "i3", "i4"]
+    views = {name: Liveness(name) for name in names}
+    for name, view in views.items():
+        for other in names:
+            if other != name:
+                view.hear(beat(other), 0.0)
+    for key in range(50):
+        assert sum(view.owns(str(key), 0.1) for view in views.values()) == 1
+
+
+def test_lookup_names_own_data_centre_when_it_has_two() -> None:
+    found = lookup_answer([peer("x"), peer("y"), peer("z", "b")], "west", "a", 64)
+    assert {entry.id for entry in found} == {"x", "y"}
+
+
+def test_lookup_names_region_when_data_centre_has_one() -> None:
+    found = lookup_answer([peer("x"), peer("z", "b"), peer("q", "c")], "west", "a", 64)
+    assert {entry.id for entry in found} == {"x", "z"}
+
+
+def test_lookup_names_other_regions_when_none_is_near() -> None:
+    found = lookup_answer([peer("q", "c")], "west", "a", 64)
+    assert [entry.id for entry in found] == ["q"]
--- /dev/null
+++ b/testing/policies/test_retry_allowance.py
@@ -0,0 +1,44 @@
+"""Tests of an instance's share of the retries."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sycamorenotch_policies import RetryAllowance
+from sycamorenotch_policies import RetryTerms
+
+TERMS = RetryTerms(ratio=0.2, window_s=10.0, extra=60.0)
+
+
+@given(st.lists(st.tuples(st.floats(0, 0.5), st.booleans()), max_size=400))
+def test_retries_stay_within_bound_in_every_window(steps) -> None:
+    instances = 3
+    allowance = RetryAllowance(TERMS)
+    now = 0.0
+    first: list[float] = []
+    again: list[float] = []
+    for pause, retry in steps:
+        now += pause
+        if not retry:
+            allowance.requested("s", now)
+            first.append(now)
+        elif allowance.take("s", now, instances):
+            again.append(now)
+    for end in again:
+        retries = sum(end - TERMS.window_s < t <= end for t in again)
+        requests = sum(end - TERMS.window_s < t <= end for t in first)
+        assert retries <= TERMS.ratio * requests + TERMS.extra / instances
+
+
+def test_retry_is_denied_when_share_is_used() -> None:
+    allowance = RetryAllowance(RetryTerms(0.0, 10.0, 10.0))
+    taken = sum(allowance.take("s", 1.0, 2) for _ in range(20))
+    assert taken == 4
+
+
+def test_retry_is_allowed_again_when_window_has_passed() -> None:
+    allowance = RetryAllowance(RetryTerms(0.0, 10.0, 2.0))
+    assert allowance.take("s", 0.0, 1)
+    assert not allowance.take("s", 9.0, 1)
+    assert allowance.take("s", 10.0, 1)
