--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := kernel transport policies documents daemon cli standins workbench
-EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
+PACKAGES := kernel transport policies documents daemon gateway cli standins workbench
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name)) -e platform
 STAMP := $(VENV)/.installed
 SEED ?= 1
 STEPS ?= 2000
@@ -13,7 +13,7 @@
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt requirements-dev.txt $(foreach name,$(PACKAGES),packages/$(name)/pyproject.toml)
+$(STAMP): constraints.txt requirements-dev.txt $(foreach name,$(PACKAGES),packages/$(name)/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet -c constraints.txt setuptools
 	$(BIN)/python -m pip install --quiet --no-build-isolation -c constraints.txt \
@@ -42,15 +42,15 @@
 	@$(BIN)/python -m sycamorenotch_workbench.golden
 
 format: $(STAMP)
-	$(BIN)/ruff format packages testing
-	$(BIN)/ruff check --fix packages testing
+	$(BIN)/ruff format packages platform testing
+	$(BIN)/ruff check --fix packages platform testing
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check packages testing
-	$(BIN)/ruff check packages testing
+	$(BIN)/ruff format --check packages platform testing
+	$(BIN)/ruff check packages platform testing
 
 types: $(STAMP)
-	$(BIN)/mypy -p sycamorenotch_kernel -p sycamorenotch_policies -p sycamorenotch_documents
+	$(BIN)/mypy -p sycamorenotch_kernel -p sycamorenotch_policies -p sycamorenotch_documents -p sycamorenotch_gateway -p sycamorenotch_platform
 
 unit: $(STAMP)
 	$(BIN)/python -m pytest -q
--- /dev/null
+++ b/packages/gateway/src/sycamorenotch_gateway/__init__.py
@@ -0,0 +1,15 @@
+"""A daemon that forwards callers' requests unchanged."""
+
+from __future__ import annotations
+
+from sycamorenotch_gateway._dialect import Dialect
+from sycamorenotch_gateway._dialect import LookupQuestion
+from sycamorenotch_gateway._settings import GatewaySettings
+from sycamorenotch_gateway._settings import parse_gateway_settings
+
+__all__ = [
+    "Dialect",
+    "GatewaySettings",
+    "LookupQuestion",
+    "parse_gateway_settings",
+]
--- /dev/null
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -0,0 +1,165 @@
+"""Sends a request to one worker and says what became of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import final
+
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
+
+from sycamorenotch_gateway._events import AttemptFailed
+from sycamorenotch_gateway._events import WorkerFailed
+from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._workers import Workers
+from sycamorenotch_kernel import ForwardCall
+from sycamorenotch_kernel import ForwardingRoute
+from sycamorenotch_kernel import Ran
+from sycamorenotch_kernel import Verdict
+from sycamorenotch_kernel import WorkerReply
+from sycamorenotch_policies import Chosen
+from sycamorenotch_policies import WorkerView
+from sycamorenotch_transport import ExchangeError
+from sycamorenotch_transport import HttpResponse
+
+# Opening takes a round trip; a lost packet is sent again after a second.
+CONNECT_S = 1.2
+# Idle time after which a connection is not trusted with a request that must
+# not be sent twice; workers may forget idle connections.
+UNSAFE_REUSE_S = 2.0
+# Added to a worker's own deadline so that its answer at the deadline arrives.
+ANSWER_TRAVEL_S = 0.1
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of one attempt.
+
+    :param reply: the worker's answer, if a whole one arrived.
+    :param ran: what is known about the execution.
+    :param late: whether the time for the attempt ran out.
+    """
+
+    ran: Ran
+    detail: str
+    reply: WorkerReply | None = None
+    late: bool = False
+
+
+@final
+class Attempts:
+    """Sends requests to workers and takes note of how those did."""
+
+    def __init__(self, node: GatewayNode) -> None:
+        self._node = node
+        self._workers = node.require(Workers)
+
+    async def send(
+        self,
+        call: ForwardCall,
+        route: ForwardingRoute,
+        chosen: Chosen,
+        deadline: float,
+    ) -> Outcome:
+        """Send a request and wait for the answer or the deadline.
+
+        :param deadline: moment on the monotonic clock.
+        """
+        view = chosen.view
+        begun = self._node.clock()
+        view.started(begun)
+        try:
+            outcome = await self._exchange(call, route, view, deadline)
+        finally:
+            view.in_flight -= 1
+        now = self._node.clock()
+        reply = outcome.reply
+        if reply is not None and reply.load is not None:
+            view.observe_load(reply.load, now)
+        if reply is not None and reply.verdict is Verdict.ANSWER:
+            view.succeeded(now - begun)
+            return outcome
+        self._note(call, chosen, outcome, now - begun)
+        return outcome
+
+    async def _exchange(
+        self,
+        call: ForwardCall,
+        route: ForwardingRoute,
+        view: WorkerView,
+        deadline: float,
+    ) -> Outcome:
+        remaining = deadline - self._node.clock()
+        dialect = self._node.dialect
+        request = dialect.encode_attempt(call, view.entry.id, remaining)
+        reuse_s = 1e9 if route.kind.repeatable else UNSAFE_REUSE_S
+        exchange: Deferred[HttpResponse] = Deferred.fromCoroutine(
+            self._workers.pool(view).exchange(
+                request,
+                min(CONNECT_S, remaining),
+                lambda response: dialect.belongs(call, response),
+                reuse_s,
+            )
+        )
+        exchange.addTimeout(remaining + ANSWER_TRAVEL_S, self._node.reactor)
+        try:
+            response = await exchange
+        except ExchangeError as exc:
+            return self._broken(view, exc)
+        except DeferredTimeoutError:
+            return Outcome(Ran.UNKNOWN, "no answer before the deadline", late=True)
+        return _judged(dialect.decode_reply(response))
+
+    def _broken(self, view: WorkerView, error: ExchangeError) -> Outcome:
+        unreachable = not error.connected
+        # An idle connection that ends says nothing about its worker.
+        if unreachable or error.began or not error.reused:
+            service = view.entry.service
+            now = self._node.clock()
+            view.failed(
+                now, self._workers.book.cold_s(service), unreachable=unreachable
+            )
+            self._node.sink.emit(
+                WorkerFailed(
+                    view.entry.id,
+                    service,
+                    str(error),
+                    view.failures,
+                    round(view.paused_until - now, 3),
+                    unreachable,
+                )
+            )
+        return Outcome(Ran.UNKNOWN if error.sent else Ran.NO, str(error))
+
+    def _note(
+        self, call: ForwardCall, chosen: Chosen, outcome: Outcome, seconds: float
+    ) -> None:
+        view = chosen.view
+        reply = outcome.reply
+        if reply is not None and reply.verdict is Verdict.STRANGER:
+            self._workers.moved(view)
+        name = "no answer" if reply is None else reply.verdict.value
+        self._node.sink.emit(
+            AttemptFailed(
+                call.id,
+                view.entry.id,
+                name,
+                outcome.detail,
+                round(chosen.load, 2),
+                chosen.reason,
+                round(self._node.clock() - view.seen_at, 1),
+                round(seconds, 3),
+            )
+        )
+
+
+def _judged(reply: WorkerReply) -> Outcome:
+    match reply.verdict:
+        case Verdict.ANSWER | Verdict.FAULT:
+            ran = Ran.YES
+        case Verdict.NOT_RUN | Verdict.STRANGER:
+            ran = Ran.NO
+        case Verdict.BROKEN:
+            ran = Ran.UNKNOWN
+    return Outcome(ran, f"status {reply.status}", reply)
--- /dev/null
+++ b/packages/gateway/src/sycamorenotch_gateway/_dialect.py
@@ -0,0 +1,72 @@
+"""The port between callers' and workers' HTTP and the gateway's types."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+from typing import final
+
+from expression import Result
+
+from sycamorenotch_kernel import ForwardCall
+from sycamorenotch_kernel import Refusal
+from sycamorenotch_kernel import WorkerReply
+from sycamorenotch_transport import HttpRequest
+from sycamorenotch_transport import HttpResponse
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class LookupQuestion:
+    """A caller's question which instances to use."""
+
+    region: str
+    data_centre: str
+
+
+class Dialect(Protocol):
+    """Encodes and decodes the requests of callers and the answers of workers."""
+
+    def decode_call(self, request: HttpRequest) -> Result[ForwardCall, Refusal]:
+        """Decode a caller's request."""
+        ...
+
+    def encode_attempt(
+        self, call: ForwardCall, worker: str, remaining_s: float
+    ) -> HttpRequest:
+        """Encode a request for one worker.
+
+        :param worker: the only worker that may run it.
+        """
+        ...
+
+    def belongs(self, call: ForwardCall, response: HttpResponse) -> bool:
+        """Whether a worker's answer is one to this request."""
+        ...
+
+    def decode_reply(self, response: HttpResponse) -> WorkerReply:
+        """Decode a worker's answer."""
+        ...
+
+    def encode_reply(self, reply: WorkerReply) -> HttpResponse:
+        """Encode a worker's answer for the caller."""
+        ...
+
+    def encode_refusal(self, call: str, refusal: Refusal) -> HttpResponse:
+        """Encode a refusal.
+
+        :param call: the caller's identifier of its request; may be empty.
+        """
+        ...
+
+    def is_readiness(self, request: HttpRequest) -> bool:
+        """Whether the platform asks if this instance is ready."""
+        ...
+
+    def decode_lookup(self, request: HttpRequest) -> LookupQuestion | None:
+        """Decode a look-up, or nothing if the request is no look-up."""
+        ...
+
+    def encode_lookup(self, addresses: tuple[str, ...], ttl_s: float) -> HttpResponse:
+        """Encode the answer to a look-up."""
+        ...
--- /dev/null
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -0,0 +1,100 @@
+"""Follows one topic of the platform's store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import final
+
+from sycamorenotch_gateway._events import StoreHistoryGone
+from sycamorenotch_gateway._events import StoreLost
+from sycamorenotch_gateway._events import StoreRegained
+from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_kernel import Batch
+from sycamorenotch_kernel import FeedError
+from sycamorenotch_kernel import FeedFault
+from sycamorenotch_kernel import Topic
+
+# First pause after a failed call; it doubles up to the longest, with jitter.
+# The longest keeps a change in force within a second of the store's return.
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8
+NOW = timedelta()
+
+# Receives a batch and whether it is the whole topic.
+Receive = Callable[[Batch, bool], None]
+
+
+@final
+class Follower:
+    """Reads a topic once, then waits for its changes.
+
+    :param receive: takes each batch.
+    """
+
+    def __init__(self, node: GatewayNode, topic: Topic, receive: Receive) -> None:
+        self._node = node
+        self._topic = topic
+        self._receive = receive
+        self._loop = node.background(self._turn)
+        self._revision: int | None = None
+        self._failures = 0
+        self._lost_at: float | None = None
+        self.regained_at: float | None = None
+        self.complete = False
+
+    @property
+    def lost(self) -> bool:
+        """Whether the last call failed."""
+        return self._lost_at is not None
+
+    def start(self) -> None:
+        """Start to follow."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """Stop to follow."""
+        self._loop.stop()
+
+    def read_again(self) -> None:
+        """Read the whole topic in the next turn."""
+        self._revision = None
+
+    async def _turn(self) -> timedelta:
+        if self._revision is None:
+            result = await self._node.feed.read(self._topic)
+            whole = True
+        else:
+            result = await self._node.feed.watch(self._topic, self._revision)
+            whole = False
+        if result.is_error():
+            return self._failed(result.error)
+        self._succeeded()
+        batch = result.ok
+        if whole or batch.items:
+            self._receive(batch, whole)
+        self._revision = batch.revision
+        self.complete = True
+        return NOW
+
+    def _succeeded(self) -> None:
+        self._failures = 0
+        if self._lost_at is not None:
+            now = self._node.clock()
+            outage, self._lost_at = now - self._lost_at, None
+            self.regained_at = now
+            self._node.sink.emit(StoreRegained(self._topic.value, round(outage, 3)))
+
+    def _failed(self, error: FeedError) -> timedelta:
+        if error.fault is FeedFault.HISTORY_GONE:
+            revision, self._revision = self._revision, None
+            self._node.sink.emit(StoreHistoryGone(self._topic.value, revision or 0))
+            return NOW
+        if self._lost_at is None:
+            self._lost_at = self._node.clock()
+            self._node.sink.emit(
+                StoreLost(self._topic.value, error.fault.value, error.detail)
+            )
+        pause = min(FIRST_PAUSE_S * 2.0**self._failures, LONGEST_PAUSE_S)
+        self._failures += 1
+        return timedelta(seconds=pause * self._node.random.uniform(0.5, 1.0))
--- /dev/null
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -0,0 +1,253 @@
+"""Takes a request through route, choice of worker, attempts and retries."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import ClassVar
+from typing import final
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from twisted.internet.defer import CancelledError
+
+from sycamorenotch_gateway._attempts import Attempts
+from sycamorenotch_gateway._attempts import Outcome
+from sycamorenotch_gateway._events import RequestAbandoned
+from sycamorenotch_gateway._events import RequestAnswered
+from sycamorenotch_gateway._events import RequestRefused
+from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._peers import Peers
+from sycamorenotch_gateway._routes import Routes
+from sycamorenotch_gateway._workers import Workers
+from sycamorenotch_kernel import ErrorKind
+from sycamorenotch_kernel import ForwardCall
+from sycamorenotch_kernel import ForwardingRoute
+from sycamorenotch_kernel import Ran
+from sycamorenotch_kernel import Refusal
+from sycamorenotch_kernel import Verdict
+from sycamorenotch_kernel import WorkerReply
+from sycamorenotch_kernel import gateway_components
+from sycamorenotch_kernel import worker_choices
+from sycamorenotch_policies import Chosen
+from sycamorenotch_policies import NoRoom
+from sycamorenotch_policies import RetryAllowance
+from sycamorenotch_policies import RetryTerms
+from sycamorenotch_policies import Wanted
+from sycamorenotch_policies import WorkerChoice
+from sycamorenotch_policies import pick_service
+from sycamorenotch_policies import unit_interval
+
+# Patience of a caller that names none on a route without a time limit.
+DEFAULT_PATIENCE_S = 30.0
+NOT_READY_RETRY_S = 0.5
+# Least time in which a worker can do anything of use.
+LEAST_REMAINING_S = 0.02
+
+ForwardResult = Result[WorkerReply, Refusal]
+
+
+@final
+@dataclass(slots=True)
+class _Progress:
+    """What has been done for one request."""
+
+    begun: float
+    route: str = ""
+    service: str = ""
+    worker: str = ""
+    attempts: int = 0
+    ran: Ran = Ran.NO
+    tried: set[str] = field(default_factory=set)
+
+
+@gateway_components.register("forwarder")
+@final
+class Forwarder:
+    """Forwards requests to workers."""
+
+    after: ClassVar[tuple[str, ...]] = ("routes", "workers", "peers")
+
+    def __init__(self, node: GatewayNode) -> None:
+        self._node = node
+        self._routes = node.require(Routes)
+        self._workers = node.require(Workers)
+        self._peers = node.require(Peers)
+        self._attempts = Attempts(node)
+        bounds = node.settings.bounds
+        self._allowance = RetryAllowance(
+            RetryTerms(
+                bounds.retry_ratio,
+                bounds.retry_window.total_seconds(),
+                bounds.extra_retries,
+            )
+        )
+        book = self._workers.book
+        self._choice: WorkerChoice = worker_choices.get("affinity")(
+            node.settings.placement.region,
+            book.limits,
+            lambda worker: self._peers.liveness.owns(worker, node.clock()),
+            node.random,
+        )
+        node.provide(Forwarder, self)
+
+    def start(self) -> None:
+        """Do nothing; front ends bring the requests."""
+
+    async def stop(self) -> None:
+        """Do nothing; front ends wait for the requests in flight."""
+
+    async def forward(self, call: ForwardCall) -> ForwardResult:
+        """Forward one request; a cancellation ends the work for it."""
+        progress = _Progress(self._node.clock())
+        try:
+            result = await self._route(call, progress)
+        except CancelledError:
+            seconds = round(self._node.clock() - progress.begun, 3)
+            self._node.sink.emit(RequestAbandoned(call.id, progress.attempts, seconds))
+            raise
+        self._record(call, progress, result)
+        return result
+
+    async def _route(self, call: ForwardCall, progress: _Progress) -> ForwardResult:
+        table = self._routes.table
+        if table is None or not self._workers.complete:
+            detail = "no configuration is in force"
+            return Error(
+                Refusal(ErrorKind.NOT_READY, Ran.NO, detail, NOT_READY_RETRY_S)
+            )
+        route = table.match(call.host, call.path)
+        if route is None:
+            detail = f"no route for {call.host} {call.path}"
+            return Error(Refusal(ErrorKind.UNKNOWN_ROUTE, Ran.NO, detail))
+        progress.route = route.name
+        progress.service = pick_service(route, unit_interval("split", call.id))
+        patience = DEFAULT_PATIENCE_S if call.patience_s is None else call.patience_s
+        bound = patience if route.timeout_s is None else min(patience, route.timeout_s)
+        return await self._try_workers(call, route, progress, progress.begun + bound)
+
+    async def _try_workers(
+        self,
+        call: ForwardCall,
+        route: ForwardingRoute,
+        progress: _Progress,
+        deadline: float,
+    ) -> ForwardResult:
+        refusal = Refusal(ErrorKind.NO_UPSTREAM, Ran.NO, "no attempt was made")
+        while progress.attempts < max(1, route.attempts):
+            now = self._node.clock()
+            if deadline - now < LEAST_REMAINING_S:
+                detail = "the time ran out"
+                return Error(Refusal(ErrorKind.DEADLINE_PASSED, progress.ran, detail))
+            wanted = Wanted(
+                route, progress.service, call.object_key, frozenset(progress.tried)
+            )
+            views = self._workers.book.usable(progress.service, now)
+            choice = self._choice.choose(wanted, views, now)
+            if isinstance(choice, NoRoom):
+                return Error(self._no_room(choice, progress, refusal))
+            if not self._may_send(progress, now):
+                return Error(refusal)
+            outcome = await self._send(call, route, choice, progress, deadline)
+            reply = outcome.reply
+            if reply is not None and reply.verdict is Verdict.ANSWER:
+                return Ok(reply)
+            refusal = _refusal(outcome, progress)
+            if not _may_repeat(route, outcome, progress):
+                return _final(outcome, refusal)
+            if reply is not None and reply.verdict is Verdict.FAULT:
+                last = progress.attempts >= route.attempts
+                if last:
+                    return Ok(reply)
+        return Error(refusal)
+
+    async def _send(
+        self,
+        call: ForwardCall,
+        route: ForwardingRoute,
+        chosen: Chosen,
+        progress: _Progress,
+        deadline: float,
+    ) -> Outcome:
+        worker = chosen.view.entry.id
+        progress.attempts += 1
+        progress.worker = worker
+        progress.tried.add(worker)
+        outcome = await self._attempts.send(call, route, chosen, deadline)
+        if outcome.ran is not Ran.NO:
+            progress.ran = outcome.ran
+        return outcome
+
+    def _may_send(self, progress: _Progress, now: float) -> bool:
+        if progress.attempts == 0:
+            self._allowance.requested(progress.service, now)
+            return True
+        return self._allowance.take(progress.service, now, self._peers.live_count)
+
+    def _no_room(
+        self, choice: NoRoom, progress: _Progress, earlier: Refusal
+    ) -> Refusal:
+        if progress.attempts:
+            return earlier
+        kind = ErrorKind.OVERLOADED
+        return Refusal(kind, Ran.NO, choice.reason, choice.retry_after_s)
+
+    def _record(
+        self, call: ForwardCall, progress: _Progress, result: ForwardResult
+    ) -> None:
+        seconds = round(self._node.clock() - progress.begun, 3)
+        version = self._routes.version
+        if result.is_ok():
+            self._node.sink.emit(
+                RequestAnswered(
+                    call.id,
+                    progress.route,
+                    progress.service,
+                    progress.worker,
+                    result.ok.status,
+                    progress.attempts,
+                    seconds,
+                    version,
+                )
+            )
+            return
+        refusal = result.error
+        self._node.sink.emit(
+            RequestRefused(
+                call.id,
+                progress.route,
+                progress.service,
+                refusal.kind.value,
+                refusal.ran.value,
+                refusal.status,
+                refusal.detail,
+                progress.attempts,
+                seconds,
+                refusal.retry_after_s or 0.0,
+                version,
+            )
+        )
+
+
+def _may_repeat(route: ForwardingRoute, outcome: Outcome, progress: _Progress) -> bool:
+    if outcome.late:
+        return False
+    return outcome.ran is Ran.NO or route.kind.repeatable
+
+
+def _final(outcome: Outcome, refusal: Refusal) -> ForwardResult:
+    """A worker's own failure is handed on; everything else is a refusal."""
+    reply = outcome.reply
+    if reply is not None and reply.verdict is Verdict.FAULT:
+        return Ok(reply)
+    return Error(refusal)
+
+
+def _refusal(outcome: Outcome, progress: _Progress) -> Refusal:
+    if outcome.late:
+        return Refusal(ErrorKind.DEADLINE_PASSED, progress.ran, outcome.detail)
+    if progress.ran is Ran.NO:
+        detail = outcome.detail
+        return Refusal(ErrorKind.UPSTREAM_SHED, Ran.NO, detail, NOT_READY_RETRY_S)
+    return Refusal(ErrorKind.UPSTREAM_FAILED, progress.ran, outcome.detail)
--- /dev/null
+++ b/packages/gateway/src/sycamorenotch_gateway/_metrics.py
@@ -0,0 +1,81 @@
+"""Counters and latency histograms of one gateway."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import ClassVar
+from typing import final
+
+from aioprometheus.collectors import Counter
+from aioprometheus.collectors import Gauge
+from aioprometheus.collectors import Histogram
+from aioprometheus.collectors import Registry
+from aioprometheus.renderer import render
+from expression import Result
+
+from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._peers import Peers
+from sycamorenotch_gateway._routes import Routes
+from sycamorenotch_gateway._workers import Workers
+from sycamorenotch_kernel import Refusal
+from sycamorenotch_kernel import WorkerReply
+from sycamorenotch_kernel import gateway_components
+
+TEXT_FORMAT = "text/plain; version=0.0.4"
+BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0, float("inf"))
+
+
+@gateway_components.register("metrics")
+@final
+class GatewayMetrics:
+    """The metrics page."""
+
+    after: ClassVar[tuple[str, ...]] = ("peers", "routes", "workers")
+
+    def __init__(self, node: GatewayNode) -> None:
+        self._peers = node.require(Peers)
+        self._routes = node.require(Routes)
+        self._workers = node.require(Workers)
+        self._registry = Registry()
+        own: dict[str, Any] = {"registry": self._registry}
+        self._requests = Counter(
+            "sycamorenotch_gateway_requests_total",
+            "Requests by status and, if the system refused, the error kind.",
+            **own,
+        )
+        self._latency = Histogram(
+            "sycamorenotch_gateway_request_seconds",
+            "Time from a request's last byte in to its answer.",
+            buckets=BUCKETS_S,
+            **own,
+        )
+        self._gauges = Gauge(
+            "sycamorenotch_gateway_state",
+            "Configuration version, known workers and live instances.",
+            **own,
+        )
+        node.provide(GatewayMetrics, self)
+
+    def start(self) -> None:
+        """Do nothing; the front end serves the page."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+    def count(self, result: Result[WorkerReply, Refusal], seconds: float) -> None:
+        """Count one finished request."""
+        if result.is_ok():
+            labels = {"status": str(result.ok.status), "kind": ""}
+        else:
+            refusal = result.error
+            labels = {"status": str(refusal.status), "kind": refusal.kind.value}
+        self._requests.inc(labels)
+        self._latency.observe({"status": labels["status"]}, seconds)
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the page and its content type."""
+        self._gauges.set({"of": "configuration"}, self._routes.version)
+        self._gauges.set({"of": "workers"}, len(self._workers.book))
+        self._gauges.set({"of": "instances"}, self._peers.live_count)
+        body, _ = render(self._registry, [TEXT_FORMAT])
+        return body, TEXT_FORMAT
--- /dev/null
+++ b/packages/gateway/src/sycamorenotch_gateway/main.py
@@ -0,0 +1,101 @@
+"""Entry point of ``sycamorenotch-gateway``."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from random import SystemRandom
+from typing import Any
+
+from absl import app
+from absl import flags
+from twisted.internet import reactor as _reactor
+from twisted.internet.defer import Deferred
+
+from sycamorenotch_documents import InvalidFileError
+from sycamorenotch_gateway._gateway import Gateway
+from sycamorenotch_gateway._log import LogWriter
+from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._reload import SettingsWatch
+from sycamorenotch_gateway._settings import GatewaySettings
+from sycamorenotch_gateway._settings import parse_gateway_settings
+from sycamorenotch_kernel import dialects
+from sycamorenotch_kernel import load_plugins
+from sycamorenotch_kernel import object_feeds
+
+reactor: Any = _reactor
+
+EXIT_SETTINGS = 2
+MILLISECONDS = 1000
+
+SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
+SETTINGS_VARIABLE = flags.DEFINE_string(
+    "settings_variable", None, "Environment variable that holds the path."
+)
+
+
+def main() -> None:
+    """Run the gateway until it is told to stop."""
+    app.run(_run)
+
+
+def _run(argv: list[str]) -> int:
+    # Timers must not follow steps of the wall clock.
+    reactor.seconds = time.monotonic
+    try:
+        path = _settings_path()
+        settings = parse_gateway_settings(path.read_text())
+    except (InvalidFileError, OSError, KeyError) as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_SETTINGS
+    _serve(_build(settings), path)
+    return 0
+
+
+def _settings_path() -> Path:
+    if SETTINGS.value is not None:
+        return Path(SETTINGS.value)
+    if SETTINGS_VARIABLE.value is not None:
+        return Path(os.environ[SETTINGS_VARIABLE.value])
+    raise KeyError("one of --settings and --settings_variable is needed")
+
+
+def _build(settings: GatewaySettings) -> Gateway:
+    load_plugins()
+    log = LogWriter(reactor, sys.stdout.fileno(), time.monotonic)
+    reactor.addSystemEventTrigger("after", "shutdown", log.flush)
+    node = GatewayNode(
+        settings=settings,
+        reactor=reactor,
+        clock=time.monotonic,
+        started=int(time.time() * MILLISECONDS),
+        random=SystemRandom(),
+        sink=log,
+        feed=object_feeds.get(settings.feed)(settings.store, reactor, time.monotonic),
+        dialect=dialects.get(settings.dialect)(),
+    )
+    return Gateway(node)
+
+
+def _serve(gateway: Gateway, path: Path) -> None:
+    watch = SettingsWatch(gateway.node, path)
+
+    def stop() -> Deferred[None]:
+        return Deferred.fromCoroutine(gateway.stop())
+
+    def started() -> None:
+        # The reactor installs its own handlers first.
+        signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(watch.read))
+        watch.start()
+        gateway.start()
+
+    reactor.callWhenRunning(started)
+    reactor.addSystemEventTrigger("before", "shutdown", stop)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/testing/architecture/test_layering.py
+++ b/testing/architecture/test_layering.py
@@ -9,7 +9,11 @@
 
 import pytest
 
-PACKAGES = Path(__file__).parents[2] / "packages"
+ROOT = Path(__file__).parents[2]
+PACKAGES = ROOT / "packages"
+FOLDERS = {path.name: path for path in PACKAGES.iterdir()} | {
+    "platform": ROOT / "platform"
+}
 
 OWN = {
     "kernel": set(),
@@ -19,9 +23,19 @@
     "standins": {"kernel", "transport"},
     "daemon": {"kernel", "policies", "documents", "transport"},
     "cli": {"kernel", "documents", "transport"},
+    "gateway": {"kernel", "policies", "documents", "transport"},
+    "platform": {"kernel", "transport", "gateway"},
 }
 PURE = {"kernel", "policies"}
 PURE_LIBRARIES = {"expression", "automat"}
+# Names on the users' platform that only its folder may know.
+PLATFORM_WORDS = (
+    *("x-attempt-id", "x-expected-instance", "x-remaining-milliseconds"),
+    *("x-response-signature", "x-not-executed", "x-server-load", "x-affinity-key"),
+    *("x-cold-milliseconds", "x-instance-id", "api/objects", "api/resolution"),
+    *("api/readiness", "path_prefix", "traffic_split", "cold_remaining"),
+    *("sticky_sessions", "home_regions", "resource_kind", "max_attempts"),
+)
 FORBIDDEN = {
     "asyncio",
     "concurrent",
@@ -33,7 +47,7 @@
 
 
 def imported_modules(package: str) -> Iterator[tuple[Path, str]]:
-    for path in sorted((PACKAGES / package / "src").rglob("*.py")):
+    for path in sorted((FOLDERS[package] / "src").rglob("*.py")):
         for node in ast.walk(ast.parse(path.read_text())):
             if isinstance(node, ast.Import):
                 yield from ((path, alias.name) for alias in node.names)
@@ -70,7 +84,7 @@
     assert wrong == []
 
 
-@pytest.mark.parametrize("package", sorted(path.name for path in PACKAGES.iterdir()))
+@pytest.mark.parametrize("package", sorted(FOLDERS))
 def test_package_imports_no_thread_process_or_second_loop(package: str) -> None:
     wrong = [
         f"{path.name}: {module}"
@@ -78,3 +92,19 @@
         if module.split(".")[0] in FORBIDDEN or module == "twisted.internet.threads"
     ]
     assert wrong == []
+
+
+@pytest.mark.parametrize("package", sorted(set(FOLDERS) - {"platform"}))
+def test_package_knows_no_name_of_the_platform(package: str) -> None:
+    wrong = [
+        f"{path.name}: {word}"
+        for path in sorted((FOLDERS[package] / "src").rglob("*.py"))
+        for word in PLATFORM_WORDS
+        if word in path.read_text().lower()
+    ]
+    assert wrong == []
+
+
+def test_platform_is_no_regular_package_at_the_root() -> None:
+    # It would shadow the standard library's module of the same name.
+    assert not (ROOT / "platform" / "__init__.py").exists()
