--- a/packages/gateway/src/sycamorenotch_gateway/__init__.py
+++ b/packages/gateway/src/sycamorenotch_gateway/__init__.py
@@ -4,11 +4,15 @@
 
 from sycamorenotch_gateway._dialect import Dialect
 from sycamorenotch_gateway._dialect import LookupQuestion
+from sycamorenotch_gateway._gateway import Gateway
+from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._settings import GatewaySettings
 from sycamorenotch_gateway._settings import parse_gateway_settings
 
 __all__ = [
     "Dialect",
+    "Gateway",
+    "GatewayNode",
     "GatewaySettings",
     "LookupQuestion",
     "parse_gateway_settings",
--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -183,6 +183,18 @@
     detail: str
 
 
+@event(6305, "store.call-failed", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class StoreCallFailed(Event):
+    """A further call failed while a topic of the store is lost."""
+
+    topic: str
+    fault: str
+    detail: str
+    failures: int
+
+
 @event(6302, "store.regained")
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from typing import final
 
+from sycamorenotch_gateway._events import StoreCallFailed
 from sycamorenotch_gateway._events import StoreHistoryGone
 from sycamorenotch_gateway._events import StoreLost
 from sycamorenotch_gateway._events import StoreRegained
@@ -90,11 +91,19 @@
             revision, self._revision = self._revision, None
             self._node.sink.emit(StoreHistoryGone(self._topic.value, revision or 0))
             return NOW
+        # A store that lost its history may let a watch from before wait in vain.
+        self._revision = None
         if self._lost_at is None:
             self._lost_at = self._node.clock()
             self._node.sink.emit(
                 StoreLost(self._topic.value, error.fault.value, error.detail)
             )
+        else:
+            self._node.sink.emit(
+                StoreCallFailed(
+                    self._topic.value, error.fault.value, error.detail, self._failures
+                )
+            )
         pause = min(FIRST_PAUSE_S * 2.0**self._failures, LONGEST_PAUSE_S)
         self._failures += 1
         return timedelta(seconds=pause * self._node.random.uniform(0.5, 1.0))
--- a/packages/gateway/src/sycamorenotch_gateway/_front_end.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_front_end.py
@@ -67,6 +67,13 @@
             "metrics": self._server("metrics", self._page),
         }
         node.require(Routes).subscribe(self._configured)
+        node.provide(GatewayFrontEnd, self)
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """``IP:port`` of each listener by its name."""
+        servers = {"callers": self._callers, **self._others}
+        return {name: server.address for name, server in servers.items()}
 
     def start(self) -> None:
         """Listen."""
--- a/packages/gateway/src/sycamorenotch_gateway/_gateway.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_gateway.py
@@ -6,6 +6,7 @@
 from typing import final
 
 from sycamorenotch_gateway._events import GatewayStarted
+from sycamorenotch_gateway._front_end import GatewayFrontEnd
 from sycamorenotch_gateway._node import GatewayComponent
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_kernel import gateway_components
@@ -25,6 +26,11 @@
             factory(node) for factory in ordered(gateway_components)
         )
 
+    @property
+    def addresses(self) -> dict[str, str]:
+        """``IP:port`` of each listener by its name, once it has started."""
+        return self.node.require(GatewayFrontEnd).addresses
+
     def start(self) -> None:
         """Start every component in order."""
         for component in self._components:
--- a/packages/policies/src/sycamorenotch_policies/_worker_choice.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_choice.py
@@ -10,19 +10,20 @@
 from typing import final
 
 from sycamorenotch_kernel import ForwardingRoute
+from sycamorenotch_kernel import RequestKind
 from sycamorenotch_kernel import ServiceLimits
 from sycamorenotch_kernel import worker_choices
 from sycamorenotch_policies._route_table import unit_interval
 from sycamorenotch_policies._worker_book import WorkerView
 
-# Load for each slot up to which an owner of an object in its order is taken.
-FULL_LOAD = 1.0
-# Load for each slot beyond which a request would wait longer than it may.
-LONGEST_QUEUE = 2.0
-# Owners of an object in the region, and in all other regions together.
-LOCAL_OWNERS = 3
-REMOTE_OWNERS = 2
+# Load for each slot beyond which a request would be too late at most workers.
+LONGEST_QUEUE = 1.5
+# Owners of an object. More owners share a burst better, but each of them must
+# first learn the object, which takes as long as several requests that know it.
+OWNERS = 2
+# Time of a request at a worker of which no latency is known.
 DEFAULT_SERVICE_S = 0.5
+# Shortest pause that a refused caller is asked to make.
 SHORTEST_RETRY_S = 0.2
 
 MayUseCold = Callable[[str], bool]
@@ -82,9 +83,9 @@
 class AffinityChoice:
     """Gives requests for one object to the same few workers.
 
-    The owners are those of the highest rendezvous weight: some in the region
-    of the instance, then some elsewhere. The first owner with a free slot is
-    taken, else the least loaded one with a short queue.
+    The owners are those of the highest rendezvous weight, the same for every
+    instance. The first one with a short queue is taken. Large answers have
+    owners in the region of the instance first.
 
     :param region: region of this instance.
     :param may_use_cold: whether this instance is the one that feeds a cold worker.
@@ -117,17 +118,14 @@
         if not allowed:
             return NoRoom("no worker of the service is usable", SHORTEST_RETRY_S)
         owners = self._owners(wanted, allowed)
-        for view in owners:
+        for place, view in enumerate(owners):
             load = view.load(now) / view.entry.slots
-            if load < FULL_LOAD:
-                return Chosen(view, load, "owner with a free slot")
-        best = min(owners, key=lambda view: view.load(now) / view.entry.slots)
-        load = best.load(now) / best.entry.slots
-        if load < LONGEST_QUEUE:
-            return Chosen(best, load, "least loaded owner")
-        typical = best.latency_s or DEFAULT_SERVICE_S
-        wait = max(SHORTEST_RETRY_S, (load - FULL_LOAD) * typical)
-        return NoRoom("every owner has a long queue", wait)
+            if load < LONGEST_QUEUE:
+                return Chosen(view, load, f"owner {place + 1} of {len(owners)}")
+        first = owners[0]
+        excess = first.load(now) / first.entry.slots - LONGEST_QUEUE
+        wait = excess * (first.latency_s or DEFAULT_SERVICE_S)
+        return NoRoom("every owner has a long queue", max(SHORTEST_RETRY_S, wait))
 
     def _bears_more(self, view: WorkerView, now: float) -> bool:
         if now >= view.cold_until:
@@ -143,9 +141,12 @@
         if not key or not wanted.route.sticky:
             key = str(self._random.random())
         ordered = sorted(views, key=lambda view: self._rank(key, view))
+        if wanted.route.kind is not RequestKind.DOWNLOAD:
+            return ordered[:OWNERS]
+        # Bytes of large answers between regions cost more than a second owner.
         local = [view for view in ordered if view.region == self._region]
         remote = [view for view in ordered if view.region != self._region]
-        return local[:LOCAL_OWNERS] + remote[:REMOTE_OWNERS]
+        return local[:OWNERS] + remote[:1]
 
     def _rank(self, key: str, view: WorkerView) -> float:
         """Weighted rendezvous: the least value owns the object."""
--- /dev/null
+++ b/testing/platform/conftest.py
@@ -0,0 +1,181 @@
+"""Fixtures: one gateway on the stand-ins of the platform."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import pytest
+from testing.platform.standins import StandInStore
+from testing.platform.standins import StandInWorker
+from twisted.internet import reactor
+from twisted.internet.task import deferLater
+
+from sycamorenotch_gateway import Gateway
+from sycamorenotch_gateway import GatewayNode
+from sycamorenotch_gateway import parse_gateway_settings
+from sycamorenotch_kernel import EventList
+from sycamorenotch_kernel import dialects
+from sycamorenotch_kernel import object_feeds
+from sycamorenotch_transport import Http1Pool
+from sycamorenotch_transport import HttpRequest
+from sycamorenotch_transport import HttpResponse
+
+SETTINGS = """
+[instance]
+id = me
+region = west
+data_centre = a
+
+[data_centre a]
+region = west
+
+[data_centre b]
+region = east
+
+[listen]
+callers = 127.0.0.1:0
+readiness = 127.0.0.1:0
+lookups = 127.0.0.1:0
+gossip = 127.0.0.1:0
+metrics = 127.0.0.1:0
+
+[platform]
+feed = platform
+dialect = platform
+store = {store}
+
+[bounds]
+grace = 800ms
+"""
+ROUTES = {"/safe/": "safe", "/once/": "unsafe", "/load/": "download"}
+STEP_S = 0.01
+STEPS = 500
+
+
+def route(prefix: str, kind: str, **changes: Any) -> dict[str, Any]:
+    specification = {
+        "host": "h",
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout": "2s",
+        "service": "s",
+        "max_attempts": 2,
+        "sticky_sessions": True,
+        **changes,
+    }
+    return {
+        "resource_kind": "routes",
+        "metadata": {"name": prefix.strip("/")},
+        "specification": specification,
+    }
+
+
+def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    routes = [route(prefix, kind, **changes) for prefix, kind in ROUTES.items()]
+    service = {
+        "resource_kind": "services",
+        "metadata": {"name": "s"},
+        "specification": {"cold_start": "3s", "cold_per_s": 4},
+    }
+    return {"version": version, "resources": [*routes, service]}
+
+
+@dataclass
+class Site:
+    """A store, workers, one gateway and a client."""
+
+    store: StandInStore
+    workers: list[StandInWorker]
+    gateway: Gateway
+    sink: EventList
+    sent: int = 0
+
+    async def until(self, condition) -> None:
+        for _ in range(STEPS):
+            if condition():
+                return
+            await deferLater(reactor, STEP_S, lambda: None)
+        raise AssertionError("the condition did not come true")
+
+    async def ready(self) -> None:
+        async def answered() -> bool:
+            return (await self.ask("readiness", "/api/readiness")).status == 200
+
+        for _ in range(STEPS):
+            if await answered():
+                return
+            await deferLater(reactor, STEP_S, lambda: None)
+        raise AssertionError("the gateway is not ready")
+
+    async def ask(self, listener: str, target: str) -> HttpResponse:
+        pool = Http1Pool(reactor, self.gateway.addresses[listener], time.monotonic)
+        request = HttpRequest("GET", target, (("Host", "h"),))
+        response = await pool.exchange(request, 1.0)
+        pool.close()
+        return response
+
+    def request(self, path: str = "/safe/1", key: str = "7", **headers: str):
+        self.sent += 1
+        pairs = (
+            ("Host", headers.pop("host", "h")),
+            ("X-Attempt-Id", f"t{self.sent}"),
+            ("X-Affinity-Key", key),
+            ("X-Remaining-Milliseconds", headers.pop("patience", "3000")),
+        )
+        return HttpRequest(headers.pop("method", "GET"), path, pairs)
+
+    async def call(self, path: str = "/safe/1", key: str = "7", **headers: str):
+        pool = Http1Pool(reactor, self.gateway.addresses["callers"], time.monotonic)
+        try:
+            return await pool.exchange(self.request(path, key, **headers), 1.0)
+        finally:
+            pool.close()
+
+    def events(self, name: str) -> list:
+        return [event for event in self.sink.events if event.name == name]
+
+
+async def build_site(workers: list[StandInWorker]) -> Site:
+    store = StandInStore()
+    store.put("config", "main", configuration())
+    for worker in workers:
+        store.put("servers", worker.name, worker.entry)
+    settings = parse_gateway_settings(SETTINGS.format(store=store.server.address))
+    sink = EventList()
+    node = GatewayNode(
+        settings=settings,
+        reactor=reactor,
+        clock=time.monotonic,
+        started=1,
+        random=Random(1),
+        sink=sink,
+        feed=object_feeds.get("platform")(settings.store, reactor, time.monotonic),
+        dialect=dialects.get("platform")(),
+    )
+    gateway = Gateway(node)
+    gateway.start()
+    return Site(store, workers, gateway, sink)
+
+
+@pytest.fixture
+def on_site(run_in_reactor):
+    """Return a function that runs a scenario on a fresh site."""
+
+    def run(scenario, count: int = 2, **changes: Any) -> None:
+        async def whole() -> None:
+            workers = [StandInWorker(f"i-{n}", **changes) for n in range(count)]
+            site = await build_site(workers)
+            try:
+                await site.ready()
+                await scenario(site)
+            finally:
+                await site.gateway.stop()
+                for server in [site.store.server, *(w.server for w in workers)]:
+                    await server.stop(0)
+
+        run_in_reactor(whole())
+
+    return run
--- /dev/null
+++ b/testing/platform/standins.py
@@ -0,0 +1,181 @@
+"""Stand-ins of the platform's store and workers, on loopback."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+from urllib.parse import parse_qs
+from urllib.parse import unquote
+
+import orjson
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from sycamorenotch_transport import Http1Server
+from sycamorenotch_transport import HttpRequest
+from sycamorenotch_transport import HttpResponse
+from sycamorenotch_transport import header
+
+LOOPBACK = "127.0.0.1:0"
+PAGE = 2
+
+
+def listen(handler) -> Http1Server:
+    server = Http1Server(
+        reactor, handler, lambda status, text: HttpResponse(status), lambda text: None
+    )
+    server.listen(LOOPBACK, 50)
+    return server
+
+
+def as_json(value: Any, status: int = 200) -> HttpResponse:
+    headers = (("Content-Type", "application/json"),)
+    return HttpResponse(status, headers, orjson.dumps(value))
+
+
+class StandInStore:
+    """Objects by kind and name, with revisions, pages and watches."""
+
+    def __init__(self) -> None:
+        self.revision = 10
+        self.oldest = 10
+        self.down = False
+        self.deaf = False
+        self.objects: dict[tuple[str, str], dict] = {}
+        self.changes: list[tuple[int, str, dict, bool]] = []
+        self.calls: list[str] = []
+        self._waiting: list[tuple[str, int, Deferred]] = []
+        self.server = listen(self._handle)
+
+    def put(self, kind: str, name: str, specification: Any) -> None:
+        self.revision += 1
+        metadata = {"name": name, "revision": self.revision, "finalizers": []}
+        item = {"metadata": metadata, "specification": specification, "status": None}
+        self.objects[kind, name] = item
+        self._changed(kind, item, deleted=False)
+
+    def remove(self, kind: str, name: str) -> None:
+        self.revision += 1
+        self._changed(kind, self.objects.pop((kind, name)), deleted=True)
+
+    def forget_history(self) -> None:
+        self.oldest = self.revision + 1
+        self.revision += 1
+        self.cut_watches()
+
+    def cut_watches(self, status: int = 410) -> None:
+        waiting, self._waiting = self._waiting, []
+        for _, _, answer in waiting:
+            answer.callback(as_json({}, status))
+
+    def _changed(self, kind: str, item: dict, deleted: bool) -> None:
+        self.changes.append((self.revision, kind, item, deleted))
+        ready = [entry for entry in self._waiting if entry[0] == kind]
+        self._waiting = [entry for entry in self._waiting if entry[0] != kind]
+        for _, after, answer in ready:
+            answer.callback(self._events(kind, after))
+
+    def _events(self, kind: str, after: int) -> HttpResponse:
+        events = [
+            {"object": item, "deleted": deleted}
+            for revision, found, item, deleted in self.changes
+            if found == kind and revision > after
+        ]
+        return as_json({"events": events, "at": self.revision})
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        path, _, text = request.target.partition("?")
+        query = {name: values[0] for name, values in parse_qs(text).items()}
+        kind, _, name = path.removeprefix("/api/objects/").partition("/")
+        self.calls.append(f"{request.method} {kind}")
+        if self.down:
+            return HttpResponse(503)
+        if request.method == "GET" and "watch" in query:
+            return await self._watch(kind, int(query["watch"]))
+        if request.method == "GET":
+            return self._list(kind, query.get("after", ""))
+        body = orjson.loads(request.body) if request.body else {}
+        name = unquote(name) or body["metadata"]["name"]
+        if request.method == "POST" and (kind, name) in self.objects:
+            return as_json(self.objects[kind, name], 409)
+        if request.method == "DELETE":
+            self.remove(kind, name)
+            return as_json({})
+        self.put(kind, name, body["specification"])
+        return as_json(self.objects[kind, name])
+
+    def _list(self, kind: str, after: str) -> HttpResponse:
+        names = sorted(n for k, n in self.objects if k == kind and n > after)
+        items = [self.objects[kind, name] for name in names[:PAGE]]
+        more = len(names) > PAGE
+        return as_json({"items": items, "has_more": more, "at": self.revision})
+
+    async def _watch(self, kind: str, after: int) -> HttpResponse:
+        if after < self.oldest and not self.deaf:
+            return as_json({}, 410)
+        known = any(found == kind and rev > after for rev, found, _, _ in self.changes)
+        if known and not self.deaf:
+            return self._events(kind, after)
+        answer: Deferred[HttpResponse] = Deferred(lambda _: None)
+        self._waiting.append((kind, after, answer))
+        return await answer
+
+
+@dataclass
+class StandInWorker:
+    """A worker that runs requests, sheds, breaks off or stays silent.
+
+    :param mode: ``run``, ``shed``, ``fail``, ``cut``, ``silent`` or ``stranger``.
+    """
+
+    name: str
+    service: str = "s"
+    zone: str = "a"
+    slots: int = 4
+    mode: str = "run"
+    born: int = 1
+    state: str = "ready"
+    ran: list[str] = field(default_factory=list)
+    requests: list[HttpRequest] = field(default_factory=list)
+    cancelled: int = 0
+
+    def __post_init__(self) -> None:
+        self.server = listen(self._handle)
+
+    @property
+    def entry(self) -> dict[str, Any]:
+        return {
+            "service": self.service,
+            "address": self.server.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "cold_remaining": "0ms",
+            "sequence": 1,
+            "born": self.born,
+        }
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        self.requests.append(request)
+        attempt = header(request.headers, "x-attempt-id")
+        echo = ("X-Attempt-Id", attempt)
+        expected = header(request.headers, "x-expected-instance")
+        if self.mode == "stranger" or expected != self.name:
+            return HttpResponse(421, (("X-Instance-Id", "i-other"),))
+        if self.mode == "shed":
+            return HttpResponse(503, (echo, ("X-Not-Executed", "1")))
+        self.ran.append(attempt)
+        if self.mode == "silent":
+            return await Deferred(lambda _: self._cancel())
+        if self.mode == "cut":
+            for connection in tuple(self.server.connections):
+                connection.transport.abortConnection()
+        status = 500 if self.mode == "fail" else 200
+        signed = ("X-Response-Signature", f"{self.name}.1")
+        load = ("X-Server-Load", f"1,0,{self.slots}")
+        return HttpResponse(status, (echo, signed, load), self.name.encode())
+
+    def _cancel(self) -> None:
+        self.cancelled += 1
--- /dev/null
+++ b/testing/platform/test_dialect.py
@@ -0,0 +1,122 @@
+"""Tests of the platform's headers and calls."""
+
+from __future__ import annotations
+
+import orjson
+import pytest
+
+from sycamorenotch_gateway import LookupQuestion
+from sycamorenotch_kernel import ErrorKind
+from sycamorenotch_kernel import LoadReport
+from sycamorenotch_kernel import Ran
+from sycamorenotch_kernel import Refusal
+from sycamorenotch_kernel import Verdict
+from sycamorenotch_kernel import dialects
+from sycamorenotch_transport import HttpRequest
+from sycamorenotch_transport import HttpResponse
+from sycamorenotch_transport import header
+
+SIGNED = ("X-Response-Signature", "1.2.3")
+HEADERS = (
+    ("Host", "h.example"),
+    ("X-Attempt-Id", "9c41"),
+    ("X-Affinity-Key", "17"),
+    ("X-Remaining-Milliseconds", "3000"),
+    ("Connection", "keep-alive, X-Hop"),
+    ("X-Hop", "1"),
+    ("X-Other", "kept"),
+)
+
+
+@pytest.fixture
+def dialect():
+    return dialects.get("platform")()
+
+
+@pytest.fixture
+def call(dialect):
+    return dialect.decode_call(HttpRequest("GET", "/p/2f?q=1", HEADERS)).ok
+
+
+def test_call_has_identifier_object_and_patience(call) -> None:
+    assert (call.id, call.object_key, call.patience_s) == ("9c41", "17", 3.0)
+    assert (call.host, call.path, call.target) == ("h.example", "/p/2f", "/p/2f?q=1")
+
+
+@pytest.mark.parametrize("value", ["", "-1", "1.5", "abc", "٣"])
+def test_patience_is_unknown_when_malformed(dialect, value) -> None:
+    headers = (("Host", "h"), ("X-Remaining-Milliseconds", value))
+    assert dialect.decode_call(HttpRequest("GET", "/", headers)).ok.patience_s is None
+
+
+def test_attempt_names_the_worker_and_the_time_left(dialect, call) -> None:
+    sent = dialect.encode_attempt(call, "i-7", 1.5)
+    assert header(sent.headers, "x-expected-instance") == "i-7"
+    assert 1400 <= int(header(sent.headers, "x-remaining-milliseconds")) <= 1500
+    assert header(sent.headers, "x-other") == "kept"
+    assert header(sent.headers, "x-hop") == ""
+    names = [name.lower() for name, _ in sent.headers]
+    assert len(names) == len(set(names))
+
+
+def test_answer_to_another_request_does_not_belong(dialect, call) -> None:
+    assert dialect.belongs(call, HttpResponse(200, (("X-Attempt-Id", "9c41"),)))
+    assert not dialect.belongs(call, HttpResponse(200, (("X-Attempt-Id", "9c42"),)))
+
+
+@pytest.mark.parametrize(
+    ("response", "verdict"),
+    [
+        (HttpResponse(200, (SIGNED,)), Verdict.ANSWER),
+        (HttpResponse(404, (SIGNED,)), Verdict.ANSWER),
+        (HttpResponse(500, (SIGNED,)), Verdict.FAULT),
+        (HttpResponse(504, (SIGNED,)), Verdict.FAULT),
+        (HttpResponse(503, (("X-Not-Executed", "1"),)), Verdict.NOT_RUN),
+        (HttpResponse(429, (("X-Not-Executed", "1"),)), Verdict.NOT_RUN),
+        (HttpResponse(421), Verdict.STRANGER),
+        (HttpResponse(503, (SIGNED,)), Verdict.BROKEN),
+        (HttpResponse(503), Verdict.BROKEN),
+        (HttpResponse(200), Verdict.BROKEN),
+    ],
+)
+def test_verdict_of_an_answer(dialect, response, verdict) -> None:
+    assert dialect.decode_reply(response).verdict is verdict
+
+
+def test_load_is_read_from_the_answer(dialect) -> None:
+    reply = dialect.decode_reply(
+        HttpResponse(200, (SIGNED, ("X-Server-Load", "3,1,8")))
+    )
+    assert reply.load == LoadReport(3, 1, 8)
+
+
+@pytest.mark.parametrize("value", ["", "1,2", "a,b,c", "1,2,3,4", "-1,0,1"])
+def test_load_is_unknown_when_malformed(dialect, value) -> None:
+    reply = dialect.decode_reply(HttpResponse(200, (SIGNED, ("X-Server-Load", value))))
+    assert reply.load is None
+
+
+@pytest.mark.parametrize(
+    ("kind", "ran", "status"),
+    [
+        (ErrorKind.OVERLOADED, Ran.NO, 503),
+        (ErrorKind.UPSTREAM_FAILED, Ran.NO, 503),
+        (ErrorKind.DEADLINE_PASSED, Ran.NO, 503),
+        (ErrorKind.UPSTREAM_FAILED, Ran.UNKNOWN, 502),
+        (ErrorKind.UPSTREAM_SHED, Ran.UNKNOWN, 502),
+        (ErrorKind.DEADLINE_PASSED, Ran.UNKNOWN, 504),
+        (ErrorKind.UNKNOWN_ROUTE, Ran.NO, 404),
+    ],
+)
+def test_status_promises_no_more_than_is_known(dialect, kind, ran, status) -> None:
+    answer = dialect.encode_refusal("9c41", Refusal(kind, ran, "why", 0.5))
+    assert answer.status == status
+    assert bool(header(answer.headers, "retry-after")) == (status == 503)
+
+
+def test_lookup_is_decoded_and_encoded(dialect) -> None:
+    target = "/api/resolution?name=h&region=west&zone=a"
+    found = dialect.decode_lookup(HttpRequest("GET", target, ()))
+    assert found == LookupQuestion("west", "a")
+    answer = dialect.encode_lookup(("10.0.0.1:80",), 1.5)
+    assert orjson.loads(answer.body) == {"addresses": ["10.0.0.1:80"], "ttl": "1500ms"}
--- /dev/null
+++ b/testing/platform/test_models.py
@@ -0,0 +1,136 @@
+"""Tests of the platform's stored objects."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sycamorenotch_kernel import RequestKind
+from sycamorenotch_kernel import Topic
+from sycamorenotch_platform._feed import _item
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 5,
+    "state": "ready",
+    "cold_remaining": "1500ms",
+    "sequence": 4,
+    "born": 1_700_000_000_123,
+}
+ROUTE = {
+    "host": "h",
+    "path_prefix": "/x/",
+    "kind": "unsafe",
+    "timeout": "2s",
+    "target_latency": "1500ms",
+    "priority": 2,
+    "max_attempts": 2,
+    "sticky_sessions": True,
+    "home_regions": ["west"],
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner)
+    ),
+)
+
+
+def stored(specification, name: str = "i-1", revision: int = 7):
+    return {
+        "metadata": {"name": name, "revision": revision},
+        "specification": specification,
+        "status": None,
+    }
+
+
+def configuration(*resources):
+    return stored({"version": 3, "resources": list(resources)}, "main")
+
+
+def route(**changes):
+    specification = {**ROUTE, **changes}
+    return {
+        "resource_kind": "routes",
+        "metadata": {"name": "r"},
+        "specification": specification,
+    }
+
+
+def test_worker_entry_is_translated() -> None:
+    worker = _item(Topic.WORKERS, stored(ENTRY), removed=False).value
+    assert (worker.id, worker.data_centre, worker.cold_s) == ("i-1", "a", 1.5)
+    assert worker.incarnation == ENTRY["born"]
+    assert not worker.draining
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": "5"},
+        {"slots": 0},
+        {"address": 5},
+        {"address": "nowhere"},
+        {"state": "gone"},
+        {"service": None},
+        {"cold_remaining": 3},
+        {"born": "yesterday"},
+    ],
+)
+def test_malformed_entry_names_no_worker(change) -> None:
+    item = _item(Topic.WORKERS, stored({**ENTRY, **change}), removed=False)
+    assert item.value is None
+    assert item.problem
+
+
+@given(JSON)
+def test_any_object_is_an_item(raw) -> None:
+    for topic in Topic:
+        item = _item(topic, raw, removed=False)
+        assert item.value is None or item.problem == ""
+
+
+@given(JSON)
+def test_any_specification_is_an_item(specification) -> None:
+    for topic in Topic:
+        _item(topic, stored(specification), removed=False)
+
+
+def test_object_that_is_being_deleted_is_removed() -> None:
+    raw = stored({}, "a")
+    raw["metadata"]["deleting"] = True
+    assert _item(Topic.EVACUATIONS, raw, removed=False).removed
+
+
+def test_configuration_is_translated() -> None:
+    limits = {"resource_kind": "limits", "specification": {"idle_timeout": "9s"}}
+    service = {
+        "resource_kind": "services",
+        "metadata": {"name": "s"},
+        "specification": {"cold_start": "3s", "cold_per_s": 3.9},
+    }
+    raw = configuration(route(service="s"), service, limits)
+    found = _item(Topic.CONFIGURATION, raw, removed=False).value
+    (first,) = found.routes
+    assert first.kind is RequestKind.UNSAFE
+    assert (first.timeout_s, first.target_latency_s) == (2.0, 1.5)
+    assert first.homes == {"west"}
+    assert found.services["s"].cold_rate == 3.9
+    assert found.limits.idle_timeout_s == 9.0
+    assert (found.version, found.revision) == (3, 7)
+
+
+def test_split_is_translated() -> None:
+    parts = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
+    raw = configuration(route(traffic_split=parts))
+    (first,) = _item(Topic.CONFIGURATION, raw, removed=False).value.routes
+    assert [(p.service, p.weight) for p in first.services] == [("s", 90), ("t", 10)]
+
+
+def test_route_without_service_is_a_problem() -> None:
+    item = _item(Topic.CONFIGURATION, configuration(route()), removed=False)
+    assert item.problem
