Hold back requests that crash workers, and read topics from peers

Cause: nothing bounded a request that crashes each worker that runs it, and an instance that the store turned away knew only what it had known before; one that started then answered 503 to everything. Change: a lost request counts as a strike when its worker is found down or started anew within 5 s; three strikes, told in the datagrams, hold it back. Topics are served to peers on the internal port and read from one that is current while the store fails. Tests: three of testing/platform/test_gateway.py, which fail without.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -11,6 +11,7 @@
 from sycamorenotch_gateway._events import AttemptFailed
 from sycamorenotch_gateway._events import WorkerFailed
 from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._suspicion import Suspicion
 from sycamorenotch_gateway._workers import Workers
 from sycamorenotch_kernel import ForwardCall
 from sycamorenotch_kernel import ForwardingRoute
@@ -54,6 +55,7 @@
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
         self._workers = node.require(Workers)
+        self._suspicion = node.require(Suspicion)
 
     async def send(
         self,
@@ -77,8 +79,11 @@
         reply = outcome.reply
         if reply is not None and reply.load is not None:
             view.observe_load(reply.load, now)
+        if reply is not None:
+            self._suspicion.alive(view.entry.id)
         if reply is not None and reply.verdict is Verdict.ANSWER:
             view.succeeded(now - begun)
+            self._suspicion.answered(self._suspicion.sign(call))
             return outcome
         self._note(call, chosen, outcome, now - begun)
         return outcome
@@ -106,13 +111,20 @@
         try:
             response = await exchange
         except ExchangeError as exc:
-            return self._broken(view, exc)
+            return self._broken(call, view, exc)
         except DeferredTimeoutError:
             return Outcome(Ran.UNKNOWN, "no answer before the deadline", late=True)
         return _judged(dialect.decode_reply(response))
 
-    def _broken(self, view: WorkerView, error: ExchangeError) -> Outcome:
+    def _broken(
+        self, call: ForwardCall, view: WorkerView, error: ExchangeError
+    ) -> Outcome:
         unreachable = not error.connected
+        if unreachable:
+            self._suspicion.crashed(view.entry.id)
+        elif error.sent and not error.began:
+            signature = self._suspicion.sign(call)
+            self._suspicion.lost(signature, call.id, view.entry.id)
         # An idle connection that ends says nothing about its worker.
         if unreachable or error.began or not error.reused:
             service = view.entry.service
--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -215,6 +215,16 @@
     revision: int
 
 
+@event(6306, "store.relayed")
+@final
+@dataclass(frozen=True, slots=True)
+class TopicRelayed(Event):
+    """A topic that the store does not serve was read from a peer."""
+
+    topic: str
+    revision: int
+
+
 @event(6304, "store.announcement-failed", Severity.WARNING)
 @final
 @dataclass(frozen=True, slots=True)
@@ -316,6 +326,17 @@
     seconds: float
 
 
+@event(6505, "request.quarantined", Severity.ERROR)
+@final
+@dataclass(frozen=True, slots=True)
+class RequestQuarantined(Event):
+    """A request has crashed several workers and is held back from now on."""
+
+    request: str
+    signature: str
+    worker: str
+
+
 @event(6601, "log.dropped", Severity.WARNING)
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -10,10 +10,13 @@
 from sycamorenotch_gateway._events import StoreHistoryGone
 from sycamorenotch_gateway._events import StoreLost
 from sycamorenotch_gateway._events import StoreRegained
+from sycamorenotch_gateway._events import TopicRelayed
 from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._relay import Relay
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import FeedError
 from sycamorenotch_kernel import FeedFault
+from sycamorenotch_kernel import Item
 from sycamorenotch_kernel import Topic
 
 # First pause after a failed call; it doubles up to the longest, with jitter.
@@ -39,6 +42,11 @@
         self._receive = receive
         self._loop = node.background(self._turn)
         self._revision: int | None = None
+        # Revision up to which the topic is known, from the store or a peer.
+        self._known_to = 0
+        self._items: dict[str, Item] = {}
+        self._relay = node.require(Relay)
+        self._relay.offer(topic, self._snapshot)
         self._failures = 0
         self._lost_at: float | None = None
         self.regained_at: float | None = None
@@ -69,14 +77,38 @@
             result = await self._node.feed.watch(self._topic, self._revision)
             whole = False
         if result.is_error():
-            return self._failed(result.error)
+            pause = self._failed(result.error)
+            if self._lost_at is not None:
+                await self._ask_peer()
+            return pause
         self._succeeded()
-        batch = result.ok
+        self._revision = result.ok.revision
+        self._apply(result.ok, whole)
+        return NOW
+
+    async def _ask_peer(self) -> None:
+        batch = await self._relay.read(self._topic, self._known_to)
+        if batch is not None:
+            self._node.sink.emit(TopicRelayed(self._topic.value, batch.revision))
+            self._apply(batch, whole=True)
+
+    def _apply(self, batch: Batch, whole: bool) -> None:
+        if whole:
+            self._items.clear()
+        for item in batch.items:
+            if item.removed or item.problem or item.value is None:
+                self._items.pop(item.name, None)
+            else:
+                self._items[item.name] = item
+        self._known_to = batch.revision
         if whole or batch.items:
             self._receive(batch, whole)
-        self._revision = batch.revision
         self.complete = True
-        return NOW
+
+    def _snapshot(self) -> Batch | None:
+        if not self.complete or self.lost:
+            return None
+        return Batch(tuple(self._items.values()), self._known_to)
 
     def _succeeded(self) -> None:
         self._failures = 0
--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -20,6 +20,7 @@
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._peers import Peers
 from sycamorenotch_gateway._routes import Routes
+from sycamorenotch_gateway._suspicion import Suspicion
 from sycamorenotch_gateway._workers import Workers
 from sycamorenotch_kernel import ErrorKind
 from sycamorenotch_kernel import ForwardCall
@@ -67,7 +68,7 @@
 class Forwarder:
     """Forwards requests to workers."""
 
-    after: ClassVar[tuple[str, ...]] = ("routes", "workers", "peers")
+    after: ClassVar[tuple[str, ...]] = ("routes", "workers", "peers", "suspicion")
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
@@ -75,6 +76,7 @@
         self._workers = node.require(Workers)
         self._peers = node.require(Peers)
         self._attempts = Attempts(node)
+        self._suspicion = node.require(Suspicion)
         bounds = node.settings.bounds
         self._allowance = RetryAllowance(
             RetryTerms(
@@ -122,6 +124,9 @@
             detail = f"no route for {call.host} {call.path}"
             return Error(Refusal(ErrorKind.UNKNOWN_ROUTE, Ran.NO, detail))
         progress.route = route.name
+        held = self._suspicion.refusal(self._suspicion.sign(call))
+        if held is not None:
+            return Error(held)
         progress.service = pick_service(route, unit_interval("split", call.id))
         patience = DEFAULT_PATIENCE_S if call.patience_s is None else call.patience_s
         bound = patience if route.timeout_s is None else min(patience, route.timeout_s)
--- a/packages/gateway/src/sycamorenotch_gateway/_front_end.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_front_end.py
@@ -33,10 +33,11 @@
 LOOKUP_INSTANCES = 64
 # Part of the grace for which callers may use an answer; some use it for three
 # times as long, and all of them must be gone before the listener closes.
-ANSWER_PART = 0.25
+ANSWER_PART = 0.2
 # Parts of the grace: new connections until the first, answers until the second.
-ACCEPT_PART = 0.6
-FINISH_PART = 0.92
+# The rest covers timers that fire late and what is still to be closed.
+ACCEPT_PART = 0.5
+FINISH_PART = 0.86
 
 KINDS = {
     400: ErrorKind.BAD_REQUEST,
--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -18,13 +18,17 @@
 from sycamorenotch_gateway._events import PeerJoined
 from sycamorenotch_gateway._events import PeerLost
 from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._relay import Relay
 from sycamorenotch_gateway._routes import Routes
+from sycamorenotch_gateway._suspicion import Suspicion
 from sycamorenotch_gateway._workers import Workers
 from sycamorenotch_kernel import PeerEntry
 from sycamorenotch_kernel import Topic
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_policies import Beat
 from sycamorenotch_policies import Liveness
+from sycamorenotch_policies import Signature
+from sycamorenotch_policies import Strike
 from sycamorenotch_policies import beat_interval_s
 
 # Largest datagram that is read; a beat is far smaller.
@@ -36,6 +40,21 @@
 LONGEST_PAUSE_S = 3.0
 
 
+class StrikeMessage(BaseModel):
+    """The wire form of a strike.
+
+    :param age_ms: time since it was seen.
+    """
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    signature: str
+    worker: str
+    origin: str
+    sequence: int
+    age_ms: int
+
+
 class BeatMessage(BaseModel):
     """The wire form of a beat."""
 
@@ -50,6 +69,7 @@
     sequence: int
     leaving: bool
     ready: bool
+    strikes: tuple[StrikeMessage, ...] = ()
 
 
 @gateway_components.register("peers")
@@ -57,7 +77,7 @@
 class Peers(DatagramProtocol):
     """Announces this instance and listens for the others."""
 
-    after: ClassVar[tuple[str, ...]] = ("routes", "workers")
+    after: ClassVar[tuple[str, ...]] = ("relay", "routes", "workers", "suspicion")
     noisy = False
 
     def __init__(self, node: GatewayNode) -> None:
@@ -72,11 +92,14 @@
         self._port: Any = None
         self._routes = node.require(Routes)
         self._workers = node.require(Workers)
+        self._suspicion = node.require(Suspicion)
+        self._relay = node.require(Relay)
+        self._relay.peers = lambda: self.liveness.serving(node.clock())
         node.provide(Peers, self)
 
     def start(self) -> None:
         """Announce this instance, then tell peers and listen to them."""
-        host, _, port = self._node.settings.gossip.rpartition(":")
+        host, _, port = self._relay.address.rpartition(":")
         self._port = self._node.reactor.listenUDP(int(port), self, host, DATAGRAM_BYTES)
         self._beats.start()
         self._entries.start()
@@ -97,7 +120,7 @@
             settings.placement.region,
             settings.placement.data_centre,
             settings.callers,
-            settings.gossip,
+            self._relay.address,
             self._node.started,
             self._node.stopping,
         )
@@ -143,6 +166,7 @@
             message.sequence,
             message.ready,
         )
+        self._suspicion.merge(tuple(map(_strike, message.strikes)))
         if self.liveness.hear(beat, self._node.clock()):
             self._node.sink.emit(PeerJoined(message.id, self.live_count))
             self._send(self._message(), beat.entry)
@@ -171,6 +195,7 @@
             sequence=self._sequence,
             leaving=entry.leaving,
             ready=self.ready,
+            strikes=tuple(map(_strike_message, self._suspicion.strikes())),
         )
         packed: bytes = msgpack.packb(message.model_dump())
         return packed
@@ -203,3 +228,23 @@
         pause = min(FIRST_PAUSE_S * 2.0**self._failures, LONGEST_PAUSE_S)
         self._failures += 1
         return timedelta(seconds=pause * self._node.random.uniform(0.5, 1.0))
+
+
+def _strike(message: StrikeMessage) -> Strike:
+    return Strike(
+        Signature(message.signature),
+        message.worker,
+        message.origin,
+        message.sequence,
+        timedelta(milliseconds=max(0, message.age_ms)),
+    )
+
+
+def _strike_message(strike: Strike) -> StrikeMessage:
+    return StrikeMessage(
+        signature=strike.signature,
+        worker=strike.worker,
+        origin=strike.origin,
+        sequence=strike.sequence,
+        age_ms=round(strike.age / timedelta(milliseconds=1)),
+    )
--- a/packages/gateway/src/sycamorenotch_gateway/_routes.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_routes.py
@@ -24,7 +24,7 @@
 class Routes:
     """Holds the newest configuration; its revision never decreases."""
 
-    after: ClassVar[tuple[str, ...]] = ()
+    after: ClassVar[tuple[str, ...]] = ("relay",)
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -13,6 +13,7 @@
 from sycamorenotch_gateway._follower import Follower
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._routes import Routes
+from sycamorenotch_gateway._suspicion import Suspicion
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import ForwardingConfiguration
 from sycamorenotch_kernel import Item
@@ -36,7 +37,7 @@
 class Workers:
     """Workers of the store, data centres under evacuation, connection pools."""
 
-    after: ClassVar[tuple[str, ...]] = ("routes",)
+    after: ClassVar[tuple[str, ...]] = ("routes", "suspicion")
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
@@ -47,6 +48,7 @@
         self._empty: set[str] = set()
         self._tick = node.background(self._turn)
         node.require(Routes).subscribe(self._configured)
+        self._suspicion = node.require(Suspicion)
         node.provide(Workers, self)
 
     def start(self) -> None:
@@ -111,6 +113,8 @@
             self._close(entry.id)
         if known is not None and known.entry == entry and known.missing_since is None:
             return
+        if known is not None and known.entry.incarnation != entry.incarnation:
+            self._suspicion.crashed(entry.id)
         self.book.put(entry, now)
         self._node.sink.emit(
             WorkerChanged(
--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -56,6 +56,7 @@
 from sycamorenotch_kernel._feeds import Item
 from sycamorenotch_kernel._feeds import ObjectFeed
 from sycamorenotch_kernel._feeds import Topic
+from sycamorenotch_kernel._forwarding import CALLER_FAULTS
 from sycamorenotch_kernel._forwarding import FAILED_STATUS
 from sycamorenotch_kernel._forwarding import NOT_RUN_STATUS
 from sycamorenotch_kernel._forwarding import ClientLimits
@@ -145,6 +146,7 @@
     "ALARM_THRESHOLDS",
     "ALARM_WINDOWS",
     "ANSWERS",
+    "CALLER_FAULTS",
     "DEFAULT_RECORD_LIMIT",
     "FAILED_STATUS",
     "IDENTIFIER_BITS",
--- a/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
@@ -16,6 +16,8 @@
 
 # A promise that the request has not run and never will.
 NOT_RUN_STATUS = 503
+# The request itself cannot be served.
+CALLER_FAULTS = frozenset({400, 404, 405, 408, 413, 431})
 # Promises nothing about execution.
 FAILED_STATUS = 502
 
@@ -238,7 +240,7 @@
         """HTTP status that promises no more than what is known."""
         status = ANSWERS[self.kind].status
         if self.ran is Ran.NO:
-            return status if status < 500 else NOT_RUN_STATUS
+            return status if status in CALLER_FAULTS else NOT_RUN_STATUS
         return FAILED_STATUS if status == NOT_RUN_STATUS else status
 
 
--- a/testing/platform/conftest.py
+++ b/testing/platform/conftest.py
@@ -143,7 +143,16 @@
     store.put("config", "main", configuration())
     for worker in workers:
         store.put("servers", worker.name, worker.entry)
-    settings = parse_gateway_settings(SETTINGS.format(store=store.server.address))
+    gateway = build_gateway(store)
+    gateway.start()
+    return Site(store, workers, gateway, gateway.node.sink)
+
+
+def build_gateway(store: StandInStore, name: str = "me") -> Gateway:
+    text = SETTINGS.format(store=store.server.address).replace(
+        "id = me", f"id = {name}"
+    )
+    settings = parse_gateway_settings(text)
     sink = EventList()
     node = GatewayNode(
         settings=settings,
@@ -155,9 +164,7 @@
         feed=object_feeds.get("platform")(settings.store, reactor, time.monotonic),
         dialect=dialects.get("platform")(),
     )
-    gateway = Gateway(node)
-    gateway.start()
-    return Site(store, workers, gateway, sink)
+    return Gateway(node)
 
 
 @pytest.fixture
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -4,13 +4,17 @@
 
 import orjson
 import pytest
+from testing.platform.conftest import Site
+from testing.platform.conftest import build_gateway
 from testing.platform.conftest import configuration
 from testing.platform.conftest import route
+from testing.platform.standins import StandInStore
 from testing.platform.standins import StandInWorker
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from sycamorenotch_gateway._relay import Relay
 from sycamorenotch_transport import header
 
 
@@ -271,3 +275,72 @@
         await deferLater(reactor, 0, lambda: None)
 
     on_site(scenario)
+
+
+def test_instance_that_the_store_turns_away_reads_from_its_peer(run_in_reactor) -> None:
+    async def scenario() -> None:
+        refusing = StandInStore()
+        refusing.down = True
+        refused = build_gateway(refusing, "refused")
+        refused.start()
+        worker = StandInWorker("i-1")
+        store = StandInStore()
+        store.put("config", "main", configuration())
+        store.put("servers", worker.name, worker.entry)
+        entry = {
+            "region": "west",
+            "zone": "a",
+            "callers": refused.addresses["callers"],
+            "gossip": refused.node.require(Relay).address,
+            "started": 1,
+        }
+        store.put("sycamorenotch-instances", "refused", entry)
+        peer = build_gateway(store)
+        peer.start()
+        site = Site(store, [worker], refused, refused.node.sink)
+        await site.ready()
+        assert (await site.call()).status == 200
+        store.put("evacuations", "a", {})
+        await site.until(lambda: site.events("evacuation.changed"))
+        assert (await site.call()).status == 503
+        for gateway in (refused, peer):
+            await gateway.stop()
+        for server in (refusing.server, store.server, worker.server):
+            await server.stop(0)
+
+    run_in_reactor(scenario())
+
+
+def test_request_that_crashes_workers_is_held_back(on_site) -> None:
+    async def scenario(site) -> None:
+        for worker in site.workers:
+            worker.mode = "cut"
+        for _ in range(6):
+            await site.call("/once/1")
+            for worker in site.workers:
+                if worker.ran:
+                    worker.ran.clear()
+                    worker.born += 1
+                    site.store.put("servers", worker.name, worker.entry)
+            count = len(site.events("worker.changed"))
+            await site.until(lambda: len(site.events("worker.changed")) >= count)
+            await deferLater(reactor, 0.35, lambda: None)
+        assert site.events("request.quarantined")
+        assert (await site.call("/once/1")).status == 503
+        for worker in site.workers:
+            worker.mode = "run"
+        assert (await site.call("/once/2")).status in (200, 503)
+
+    on_site(scenario, count=6)
+
+
+def test_lost_answers_are_no_crash(on_site) -> None:
+    async def scenario(site) -> None:
+        for worker in site.workers:
+            worker.mode = "cut"
+        for _ in range(6):
+            await site.call("/once/1")
+            await deferLater(reactor, 0.35, lambda: None)
+        assert not site.events("request.quarantined")
+
+    on_site(scenario, count=6)
