Leave a worker that answers nobody, and answer before the caller stops to wait

Ruled out: routes with a time limit (answered 504 in time). Change: a worker that has requests and answers none for 1.2 s or five times its latency is avoided, and repeatable requests leave it; connections open within 0.5 s; silence of a socket shows after 3 s; the last answer comes 0.15 s before the caller's own limit.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 from typing import final
 
+from twisted.internet.defer import CancelledError
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 
@@ -23,11 +25,14 @@
 from sycamorenotch_transport import ExchangeError
 from sycamorenotch_transport import HttpResponse
 
-# Opening takes a round trip; a lost packet is sent again after a second.
-CONNECT_S = 1.2
+# Several round trips between regions; a lost packet is sent again only after
+# a second, in which another worker can answer.
+CONNECT_S = 0.5
 # Idle time after which a connection is not trusted with a request that must
 # not be sent twice; workers may forget idle connections.
 UNSAFE_REUSE_S = 2.0
+# Shortest time between two looks at a worker that may be silent.
+SHORTEST_LOOK_S = 0.05
 # Added to a worker's own deadline so that its answer at the deadline arrives.
 ANSWER_TRAVEL_S = 0.1
 
@@ -74,12 +79,13 @@
         try:
             outcome = await self._exchange(call, route, view, deadline)
         finally:
-            view.in_flight -= 1
+            view.ended(begun)
         now = self._node.clock()
         reply = outcome.reply
         if reply is not None and reply.load is not None:
             view.observe_load(reply.load, now)
         if reply is not None:
+            view.heard_at = now
             self._suspicion.alive(view.entry.id)
         if reply is not None and reply.verdict is Verdict.ANSWER:
             view.succeeded(now - begun)
@@ -108,12 +114,24 @@
             )
         )
         exchange.addTimeout(remaining + ANSWER_TRAVEL_S, self._node.reactor)
+        if route.kind.repeatable:
+            watch = _SilenceWatch(self._node, view, exchange)
+        else:
+            watch = None
         try:
             response = await exchange
         except ExchangeError as exc:
             return self._broken(call, view, exc)
         except DeferredTimeoutError:
             return Outcome(Ran.UNKNOWN, "no answer before the deadline", late=True)
+        except CancelledError:
+            if watch is None or not watch.fired:
+                raise
+            detail = f"the worker is silent for {view.silence_s():.1f} s"
+            return Outcome(Ran.UNKNOWN, detail)
+        finally:
+            if watch is not None:
+                watch.stop()
         return _judged(dialect.decode_reply(response))
 
     def _broken(
@@ -166,6 +184,35 @@
         )
 
 
+@final
+class _SilenceWatch:
+    """Cancels an exchange whose worker answers nobody any more."""
+
+    def __init__(
+        self, node: GatewayNode, view: WorkerView, exchange: Deferred[HttpResponse]
+    ) -> None:
+        self._node = node
+        self._view = view
+        self._exchange = exchange
+        self.fired = False
+        self._timer: Any = None
+        self._look()
+
+    def stop(self) -> None:
+        """Stop to watch."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _look(self) -> None:
+        left = self._view.silent_at() - self._node.clock()
+        if left <= 0:
+            self.fired = True
+            self._exchange.cancel()
+        else:
+            delay = max(left, SHORTEST_LOOK_S)
+            self._timer = self._node.reactor.callLater(delay, self._look)
+
+
 def _judged(reply: WorkerReply) -> Outcome:
     match reply.verdict:
         case Verdict.ANSWER | Verdict.FAULT:
--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -43,6 +43,8 @@
 # Patience of a caller that names none on a route without a time limit.
 DEFAULT_PATIENCE_S = 30.0
 NOT_READY_RETRY_S = 0.5
+# A caller gets the final answer this long before it stops to wait.
+ANSWER_MARGIN_S = 0.15
 # Least time in which a worker can do anything of use.
 LEAST_REMAINING_S = 0.02
 
@@ -129,6 +131,7 @@
             return Error(held)
         progress.service = pick_service(route, unit_interval("split", call.id))
         patience = DEFAULT_PATIENCE_S if call.patience_s is None else call.patience_s
+        patience = max(LEAST_REMAINING_S, patience - ANSWER_MARGIN_S)
         bound = patience if route.timeout_s is None else min(patience, route.timeout_s)
         return await self._try_workers(call, route, progress, progress.begun + bound)
 
--- a/packages/policies/src/sycamorenotch_policies/_worker_book.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_book.py
@@ -5,6 +5,7 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
 from typing import final
 
 from sycamorenotch_kernel import LoadReport
@@ -18,6 +19,11 @@
 LONGEST_PAUSE_S = 3.0
 # Weight of the newest latency in the moving average.
 LATENCY_GAIN = 0.2
+# A worker that has requests and answers none for this many times its usual
+# latency, and for at least this long, is taken to be silent. Work varies by a
+# factor of three, and may wait behind as much again.
+SILENT_LATENCIES = 5.0
+SHORTEST_SILENCE_S = 1.2
 
 
 @final
@@ -27,18 +33,19 @@
 
     All moments are seconds on the monotonic clock.
 
-    :param in_flight: requests of this instance at the worker.
     :param others: requests of other instances there, by its last report.
     :param paused_until: moment before which it gets no request after a failure.
     :param cold_until: moment until which it bears only few requests.
     :param missing_since: moment at which its entry was removed, if it was.
-    :param ratio: moving average of its latency against that of its service.
+    :param latency_s: moving average of the time to an answer.
+    :param heard_at: moment of its last answer to this instance.
+    :param sent: moments of the requests of the last second.
+    :param open_since: moments at which the requests in flight were sent.
     """
 
     entry: WorkerEntry
     region: str
     seen_at: float
-    in_flight: int = 0
     others: float = 0.0
     reported_at: float = -1e9
     failures: int = 0
@@ -47,7 +54,24 @@
     cold_until: float = -1e9
     missing_since: float | None = None
     latency_s: float | None = None
+    heard_at: float = -1e9
     sent: deque[float] = field(default_factory=deque)
+    open_since: list[float] = field(default_factory=list)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of this instance at the worker."""
+        return len(self.open_since)
+
+    def silence_s(self) -> float:
+        """How long the worker may be without an answer while it has requests."""
+        return max(SHORTEST_SILENCE_S, SILENT_LATENCIES * (self.latency_s or 0.0))
+
+    def silent_at(self) -> float:
+        """Moment from which the worker counts as silent; infinite if it is idle."""
+        if not self.open_since:
+            return inf
+        return max(self.heard_at, min(self.open_since)) + self.silence_s()
 
     def load(self, now: float) -> float:
         """Requests at the worker, running and waiting, as far as known."""
@@ -65,17 +89,21 @@
 
     def started(self, now: float) -> None:
         """Take note of a request that is sent."""
-        self.in_flight += 1
+        self.open_since.append(now)
         self.sent.append(now)
         while self.sent and self.sent[0] <= now - 1.0:
             self.sent.popleft()
 
+    def ended(self, begun: float) -> None:
+        """Take note that a request is no longer in flight."""
+        self.open_since.remove(begun)
+
     def sent_last_second(self, now: float) -> int:
         """Requests that this instance sent in the last second."""
         return sum(1 for moment in self.sent if moment > now - 1.0)
 
     def succeeded(self, latency_s: float) -> None:
-        """Take note of an answer of the worker."""
+        """Take note of a regular answer of the worker."""
         self.failures = 0
         self.unreachable = False
         known = self.latency_s
@@ -214,7 +242,7 @@
 
     def _restart(self, old: WorkerView, entry: WorkerEntry, now: float) -> WorkerView:
         view = self._join(entry, now)
-        view.in_flight = old.in_flight
+        view.open_since = old.open_since
         cold_s = entry.cold_s or self.cold_s(entry.service)
         view.cold_until = now + cold_s
         return view
--- a/packages/policies/src/sycamorenotch_policies/_worker_choice.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_choice.py
@@ -117,7 +117,8 @@
         ]
         if not allowed:
             return NoRoom("no worker of the service is usable", SHORTEST_RETRY_S)
-        owners = self._owners(wanted, allowed)
+        heard = [view for view in allowed if now < view.silent_at()]
+        owners = self._owners(wanted, heard or allowed)
         for place, view in enumerate(owners):
             load = view.load(now) / view.entry.slots
             if load < LONGEST_QUEUE:
--- a/packages/transport/src/sycamorenotch_transport/_sockets.py
+++ b/packages/transport/src/sycamorenotch_transport/_sockets.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 # A silent peer is noticed after about IDLE + COUNT * INTERVAL seconds.
-KEEPALIVE_IDLE_S = 2
+KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_COUNT = 3
+KEEPALIVE_COUNT = 2
 # Longest time that written bytes may stay without an acknowledgement.
 USER_TIMEOUT_MS = 4_000
 
