Explain a request from the logs of gateways

On-call engineers have logs and metrics only. Tests: testing/cli/test_log_causes.py, testing/gateway.

--- a/packages/cli/src/sycamorenotch_cli/_commands.py
+++ b/packages/cli/src/sycamorenotch_cli/_commands.py
@@ -69,6 +69,7 @@
     :param target: environment that a promotion writes.
     :param undo: whether a drain is undone.
     :param output: file for an HTML report, if one is wanted.
+    :param logs: log files of gateways to read in place of asking instances.
     """
 
     author: str = ""
@@ -80,6 +81,7 @@
     environment: str = "production"
     undo: bool = False
     output: str = ""
+    logs: tuple[str, ...] = ()
 
 
 @final
--- a/packages/cli/src/sycamorenotch_cli/_explain.py
+++ b/packages/cli/src/sycamorenotch_cli/_explain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
+
 from sycamorenotch_cli._commands import ExitCode
 from sycamorenotch_cli._commands import Invocation
 from sycamorenotch_cli._commands import Outcome
@@ -9,6 +11,9 @@
 from sycamorenotch_cli._commands import refused
 from sycamorenotch_cli._fleet import ask_fleet
 from sycamorenotch_cli._history import format_time
+from sycamorenotch_cli._log_causes import cause_of
+from sycamorenotch_cli._log_causes import tell
+from sycamorenotch_cli._log_lines import read_logs
 from sycamorenotch_cli._messages import DecisionModel
 
 
@@ -19,8 +24,10 @@
     "sycamorenotch explain d-0123456789abcdef0123",
 )
 async def explain(invocation: Invocation) -> Outcome:
-    """Ask every instance for the record of a decision."""
+    """Ask every instance for the record of a decision, or read it from logs."""
     (decision,) = invocation.args
+    if invocation.options.logs:
+        return _from_logs(decision, invocation.options.logs)
     path = f"/v1/decisions/{decision}"
     found = await ask_fleet(invocation.connect(), path, DecisionModel)
     if found.is_error():
@@ -34,6 +41,28 @@
     return Outcome(ExitCode.OK, _in_words(instance, record), data)
 
 
+def _from_logs(request: str, paths: tuple[str, ...]) -> Outcome:
+    try:
+        story = tell(read_logs(paths), request)
+    except OSError as exc:
+        detail = f"a log cannot be read: {exc}"
+        return Outcome(ExitCode.USAGE, detail, {"error": detail})
+    cause = cause_of(story)
+    own = (*story.attempts, *([] if story.last is None else [story.last]))
+    lines = [f"Request {request}", f"Cause: {cause}", "Decisions:"]
+    lines += [f"  {line}" for line in own]
+    if story.context:
+        lines += ["Shortly before:", *(f"  {line}" for line in story.context)]
+    data = {
+        "request": request,
+        "cause": cause,
+        "decisions": [asdict(line) for line in own],
+        "context": [asdict(line) for line in story.context],
+    }
+    code = ExitCode.OK if own else ExitCode.NOT_FOUND
+    return Outcome(code, "\n".join(lines), data)
+
+
 def _in_words(instance: str, record: DecisionModel) -> str:
     lines = [
         f"Decision {record.id} was about: {record.kind}.",
--- a/packages/cli/src/sycamorenotch_cli/main.py
+++ b/packages/cli/src/sycamorenotch_cli/main.py
@@ -42,6 +42,7 @@
 TO = flags.DEFINE_string("to", "production", "Environment that a promotion writes.")
 ENVIRONMENT = flags.DEFINE_string("environment", "production", "Where a drain applies.")
 UNDO = flags.DEFINE_bool("undo", False, "End a drain.")
+LOG = flags.DEFINE_multi_string("log", [], "Log file of a gateway; may be repeated.")
 OUTPUT = flags.DEFINE_string("output", "", "File for a report as HTML.")
 
 
@@ -122,6 +123,7 @@
         environment=ENVIRONMENT.value,
         undo=UNDO.value,
         output=OUTPUT.value,
+        logs=tuple(LOG.value),
     )
 
 
--- a/packages/gateway/src/sycamorenotch_gateway/_log.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_log.py
@@ -28,11 +28,13 @@
     """Queues lines and writes what the descriptor takes.
 
     :param descriptor: file descriptor of the log; set to not block.
+    :param instance: name that each line bears, so that logs can be joined.
     """
 
     def __init__(
-        self, reactor: Any, descriptor: int, clock: Callable[[], float]
+        self, reactor: Any, descriptor: int, clock: Callable[[], float], instance: str
     ) -> None:
+        self._instance = instance
         self._reactor = reactor
         self._descriptor = descriptor
         self._clock = clock
@@ -55,9 +57,12 @@
             self.emit(LogDropped(dropped))
         log_message(
             event.name,
-            event_number=event.number,
-            severity=event.severity.value,
-            **event.fields(),
+            **{
+                "event_number": event.number,
+                "severity": event.severity.value,
+                "instance": self._instance,
+                **event.fields(),
+            },
         )
 
     def flush(self) -> None:
--- a/packages/gateway/src/sycamorenotch_gateway/main.py
+++ b/packages/gateway/src/sycamorenotch_gateway/main.py
@@ -65,7 +65,7 @@
 
 def _build(settings: GatewaySettings) -> Gateway:
     load_plugins()
-    log = LogWriter(reactor, sys.stdout.fileno(), time.monotonic)
+    log = LogWriter(reactor, sys.stdout.fileno(), time.monotonic, settings.instance)
     reactor.addSystemEventTrigger("after", "shutdown", log.flush)
     node = GatewayNode(
         settings=settings,
--- /dev/null
+++ b/testing/cli/test_log_causes.py
@@ -0,0 +1,103 @@
+"""Tests of the way from a request's identifier to its cause in the logs."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from sycamorenotch_cli._commands import ExitCode
+from sycamorenotch_cli._commands import Invocation
+from sycamorenotch_cli._commands import Options
+from sycamorenotch_cli._log_causes import cause_of
+from sycamorenotch_cli._log_causes import tell
+from sycamorenotch_cli._log_lines import parse_lines
+from sycamorenotch_kernel import commands
+
+PREFIX = "   1.2030 frontend-a-1 "
+
+
+def line(at: float, name: str, **fields) -> str:
+    common = {"timestamp": at, "message_type": name, "instance": "a-1"}
+    return PREFIX + json.dumps({**common, **fields})
+
+
+def refused(kind: str, **fields) -> str:
+    values = {"request": "r1", "service": "s", "kind": kind, "detail": "why"}
+    values |= {"seconds": 0.5, "configuration": 7, "retry_after_s": 0.4, "attempts": 1}
+    return line(10.0, "request.refused", **{**values, **fields})
+
+
+ATTEMPT = line(
+    9.9,
+    "request.attempt-failed",
+    request="r1",
+    worker="i-1",
+    outcome="no answer",
+    detail="connection lost",
+    load=1.2,
+    entry_age_s=3.0,
+)
+
+
+@pytest.mark.parametrize(
+    ("kind", "words"),
+    [
+        ("overloaded", "no room"),
+        ("upstream-failed", "i-1: no answer, connection lost"),
+        ("upstream-shed", "refused to run it"),
+        ("deadline-passed", "No worker answered within 0.5 s"),
+        ("not-ready", "knew no configuration"),
+        ("unknown-route", "Version 7"),
+        ("quarantined", "crashed several workers"),
+        ("internal", "refused it as internal: why"),
+    ],
+)
+def test_cause_of_a_refusal(kind, words) -> None:
+    lines = tuple(parse_lines([ATTEMPT, refused(kind)]))
+    assert words in cause_of(tell(lines, "r1"))
+
+
+def test_cause_when_the_instance_ended_first() -> None:
+    assert "instance ended" in cause_of(tell(tuple(parse_lines([ATTEMPT])), "r1"))
+
+
+def test_cause_when_no_line_names_the_request() -> None:
+    assert "No line" in cause_of(tell(tuple(parse_lines([ATTEMPT])), "other"))
+
+
+def test_context_holds_what_its_worker_and_instance_did_shortly_before() -> None:
+    texts = [
+        line(5.0, "worker.failed", worker="i-1"),
+        line(5.0, "worker.failed", worker="i-2"),
+        line(6.0, "store.lost", topic="workers"),
+        line(-50.0, "store.lost", topic="workers"),
+        ATTEMPT,
+        refused("upstream-failed"),
+    ]
+    story = tell(tuple(parse_lines(texts)), "r1")
+    assert [item.name for item in story.context] == ["worker.failed", "store.lost"]
+
+
+def test_lines_of_other_programs_are_passed_over() -> None:
+    texts = ["no json", "{broken", '{"other": 1}', ATTEMPT]
+    assert [item.worker for item in parse_lines(texts)] == ["i-1"]
+
+
+def test_explain_reads_logs(run_in_reactor, tmp_path) -> None:
+    path = tmp_path / "a.log"
+    path.write_text(ATTEMPT + "\n" + refused("upstream-failed") + "\n")
+    options = Options(logs=(str(path),))
+    invocation = Invocation(("r1",), options, None, lambda: None)
+    outcome = run_in_reactor(commands.get("explain").run(invocation))
+    assert outcome.code is ExitCode.OK
+    assert "Cause: Its worker was lost" in outcome.text
+    assert outcome.data["decisions"][0]["worker"] == "i-1"
+    json.dumps(outcome.data)
+
+
+def test_explain_says_when_a_log_cannot_be_read(run_in_reactor, tmp_path) -> None:
+    options = Options(logs=(str(tmp_path / "absent"),))
+    invocation = Invocation(("r1",), options, None, lambda: None)
+    outcome = run_in_reactor(commands.get("explain").run(invocation))
+    assert outcome.code is ExitCode.USAGE
--- /dev/null
+++ b/testing/gateway/test_settings.py
@@ -0,0 +1,114 @@
+"""Tests of the gateway's settings and the template that fills them."""
+
+from __future__ import annotations
+
+import re
+from datetime import timedelta
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from sycamorenotch_documents import InvalidFileError
+from sycamorenotch_gateway import GatewayNode
+from sycamorenotch_gateway import parse_gateway_settings
+from sycamorenotch_gateway._reload import SettingsWatch
+from sycamorenotch_kernel import EventList
+
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "gateway.ini.template"
+FIELDS = {
+    "node_name": "frontend-a-1",
+    "region": "west",
+    "zone": "a",
+    "ip_address": "10.1.0.1",
+    "internal_port_range.0": "7200",
+    "listen.frontend": "10.1.0.1:8381",
+    "listen.ready": "10.1.0.1:8388",
+    "listen.directory": "10.1.0.1:8383",
+    "platform.address": "10.2.0.1:8384",
+    "bounds.grace": "6s",
+    "bounds.drain": "2500ms",
+    "bounds.ttl_max": "5s",
+    "bounds.retry_budget_ratio": "0.2",
+    "bounds.budget_window": "10s",
+    "bounds.budget_extra_retries": "60",
+    "bounds.cold_overload_factor": "1.5",
+    "bounds.cold_slack": "5",
+}
+ZONES = {"a": "west", "b": "east"}
+
+
+def render(**changes: str) -> str:
+    text = TEMPLATE.read_text()
+    section = re.compile(r"\{\{#zones\}\}\n(.*?)\{\{/zones\}\}\n", re.S)
+    body = section.search(text)
+    assert body is not None
+    zones = "".join(
+        body.group(1).replace("{{@}}", name).replace("{{.}}", region)
+        for name, region in ZONES.items()
+    )
+    text = section.sub(lambda _: zones, text)
+    fields = {**FIELDS, **changes}
+    return re.sub(r"\{\{([^}]*)\}\}", lambda found: fields[found.group(1)], text)
+
+
+def test_template_gives_valid_settings() -> None:
+    settings = parse_gateway_settings(render())
+    assert settings.instance == "frontend-a-1"
+    assert settings.placement.region_of("b") == "east"
+    assert settings.gossip == "10.1.0.1:7200"
+    assert settings.bounds.grace == timedelta(seconds=6)
+    assert settings.bounds.retry_ratio == 0.2
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "place"),
+    [
+        ("listen.frontend", "nowhere", "[listen] callers"),
+        ("bounds.grace", "6", "[bounds] grace"),
+        ("bounds.retry_budget_ratio", "-1", "[bounds] retry_ratio"),
+        ("region", "", "[instance] region"),
+    ],
+)
+def test_mistake_is_named_with_its_section_and_option(field, value, place) -> None:
+    with pytest.raises(InvalidFileError, match=re.escape(place)):
+        parse_gateway_settings(render(**{field: value}))
+
+
+@pytest.fixture
+def watched(tmp_path):
+    path = tmp_path / "gateway.ini"
+    path.write_text(render())
+    node = GatewayNode(
+        settings=parse_gateway_settings(path.read_text()),
+        reactor=None,
+        clock=lambda: 0.0,
+        started=1,
+        random=Random(1),
+        sink=EventList(),
+        feed=None,
+        dialect=None,
+    )
+    return path, node, SettingsWatch(node, path)
+
+
+def test_changed_settings_are_in_force_after_reload(watched) -> None:
+    path, node, watch = watched
+    path.write_text(render(**{"bounds.grace": "9s"}))
+    watch.read()
+    assert node.settings.bounds.grace == timedelta(seconds=9)
+
+
+def test_settings_in_force_stay_when_the_file_has_mistakes(watched) -> None:
+    path, node, watch = watched
+    path.write_text(render(**{"bounds.grace": "soon"}))
+    watch.read()
+    assert node.settings.bounds.grace == timedelta(seconds=6)
+    assert [event.name for event in node.sink.events] == ["gateway.settings-invalid"]
+
+
+def test_listeners_keep_their_addresses_over_a_reload(watched) -> None:
+    path, node, watch = watched
+    path.write_text(render(**{"listen.frontend": "10.1.0.1:9999"}))
+    watch.read()
+    assert node.settings.callers == "10.1.0.1:8381"
