--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 SEED ?= 1
 STEPS ?= 2000
 
-.PHONY: setup run test demo bench soak slopes golden docs format lint types unit
+.PHONY: setup run platform-run test demo bench soak slopes golden docs format lint types unit
 
 setup: $(STAMP)
 
@@ -23,6 +23,9 @@
 run: $(STAMP)
 	@$(BIN)/python -m sycamorenotch_workbench.run
 
+platform-run: $(STAMP)
+	@$(BIN)/python -m testing.platform.serve
+
 demo: $(STAMP)
 	@$(BIN)/python -m sycamorenotch_workbench.demo
 
