Hand on a worker's failure when no retry follows, and remove unused parts

A worker's own failure of a repeatable request was replaced by 502 when no other worker or no retry was left, and the loop over workers had four ways out. Now the last result is what the caller gets; the new test fails without the change. Idle connections to a worker keep within a share of what the worker bears. Removed: calls and counters that nothing used.

--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -71,10 +71,6 @@
         """Stop to follow."""
         self._loop.stop()
 
-    def read_again(self) -> None:
-        """Read the whole topic in the next turn."""
-        self._revision = None
-
     async def _turn(self) -> timedelta:
         if self._revision is None:
             result = await self._node.feed.read(self._topic, fresh=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -43,7 +43,8 @@
 
 # Patience of a caller that names none on a route without a time limit.
 DEFAULT_PATIENCE_S = 30.0
-NOT_READY_RETRY_S = 0.5
+# Pause after which a caller may find an instance ready or a worker with room.
+RETRY_AFTER_S = 0.5
 # An instance that has just started reads its topics within a few round trips;
 # requests of callers that know its address wait for that, at this interval.
 START_WAIT_S = 0.3
@@ -117,9 +118,7 @@
         table = self._routes.table
         if table is None or not self._workers.complete:
             detail = "no configuration is in force"
-            return Error(
-                Refusal(ErrorKind.NOT_READY, Ran.NO, detail, NOT_READY_RETRY_S)
-            )
+            return Error(Refusal(ErrorKind.NOT_READY, Ran.NO, detail, RETRY_AFTER_S))
         route = table.match(call.host, call.path)
         if route is None:
             detail = f"no route for {call.host} {call.path}"
@@ -153,33 +152,25 @@
         progress: _Progress,
         deadline: float,
     ) -> ForwardResult:
-        refusal = Refusal(ErrorKind.NO_UPSTREAM, Ran.NO, "no attempt was made")
-        while progress.attempts < max(1, route.attempts):
+        result: ForwardResult | None = None
+        while True:
             now = self._node.clock()
             if deadline - now < LEAST_REMAINING_S:
-                detail = "the time ran out"
-                return Error(Refusal(ErrorKind.DEADLINE_PASSED, progress.ran, detail))
+                late = Refusal(ErrorKind.DEADLINE_PASSED, Ran.NO, "the time ran out")
+                return Error(late) if result is None else result
             wanted = Wanted(
                 route, progress.service, call.object_key, frozenset(progress.tried)
             )
             views = self._workers.book.usable(progress.service, now)
             choice = self._choice.choose(wanted, views, now)
             if isinstance(choice, NoRoom):
-                return Error(self._no_room(choice, progress, refusal))
-            if not self._may_send(progress, now):
-                return Error(refusal)
+                return Error(_no_room(choice)) if result is None else result
+            if not self._may_send(progress, now) and result is not None:
+                return result
             outcome = await self._send(call, route, choice, progress, deadline)
-            reply = outcome.reply
-            if reply is not None and reply.verdict is Verdict.ANSWER:
-                return Ok(reply)
-            refusal = _refusal(outcome, progress)
-            if not _may_repeat(route, outcome, progress):
-                return _final(outcome, refusal)
-            if reply is not None and reply.verdict is Verdict.FAULT:
-                last = progress.attempts >= route.attempts
-                if last:
-                    return Ok(reply)
-        return Error(refusal)
+            result = _result(outcome, progress)
+            if progress.attempts >= route.attempts or not _may_repeat(route, outcome):
+                return result
 
     async def _send(
         self,
@@ -204,14 +195,6 @@
             return True
         return self._allowance.take(progress.service, now, self._peers.live_count)
 
-    def _no_room(
-        self, choice: NoRoom, progress: _Progress, earlier: Refusal
-    ) -> Refusal:
-        if progress.attempts:
-            return earlier
-        kind = ErrorKind.OVERLOADED
-        return Refusal(kind, Ran.NO, choice.reason, choice.retry_after_s)
-
     def _record(
         self, call: ForwardCall, progress: _Progress, result: ForwardResult
     ) -> None:
@@ -249,24 +232,27 @@
         )
 
 
-def _may_repeat(route: ForwardingRoute, outcome: Outcome, progress: _Progress) -> bool:
-    if outcome.late:
+def _may_repeat(route: ForwardingRoute, outcome: Outcome) -> bool:
+    reply = outcome.reply
+    if outcome.late or (reply is not None and reply.verdict is Verdict.ANSWER):
         return False
     return outcome.ran is Ran.NO or route.kind.repeatable
 
 
-def _final(outcome: Outcome, refusal: Refusal) -> ForwardResult:
-    """A worker's own failure is handed on; everything else is a refusal."""
+def _result(outcome: Outcome, progress: _Progress) -> ForwardResult:
+    """A worker's own answers and failures are handed on, the rest is refused."""
     reply = outcome.reply
-    if reply is not None and reply.verdict is Verdict.FAULT:
+    if reply is not None and reply.verdict in (Verdict.ANSWER, Verdict.FAULT):
         return Ok(reply)
-    return Error(refusal)
-
-
-def _refusal(outcome: Outcome, progress: _Progress) -> Refusal:
     if outcome.late:
-        return Refusal(ErrorKind.DEADLINE_PASSED, progress.ran, outcome.detail)
+        kind = ErrorKind.DEADLINE_PASSED
+        return Error(Refusal(kind, progress.ran, outcome.detail))
     if progress.ran is Ran.NO:
-        detail = outcome.detail
-        return Refusal(ErrorKind.UPSTREAM_SHED, Ran.NO, detail, NOT_READY_RETRY_S)
-    return Refusal(ErrorKind.UPSTREAM_FAILED, progress.ran, outcome.detail)
+        kind = ErrorKind.UPSTREAM_SHED
+        return Error(Refusal(kind, Ran.NO, outcome.detail, RETRY_AFTER_S))
+    return Error(Refusal(ErrorKind.UPSTREAM_FAILED, progress.ran, outcome.detail))
+
+
+def _no_room(choice: NoRoom) -> Refusal:
+    kind = ErrorKind.OVERLOADED
+    return Refusal(kind, Ran.NO, choice.reason, choice.retry_after_s)
--- a/packages/gateway/src/sycamorenotch_gateway/_front_end.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_front_end.py
@@ -22,6 +22,7 @@
 from sycamorenotch_kernel import front_ends
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_policies import lookup_answer
+from sycamorenotch_transport import Handler
 from sycamorenotch_transport import Http1Server
 from sycamorenotch_transport import HttpBounds
 from sycamorenotch_transport import HttpRequest
@@ -98,10 +99,10 @@
             await server.stop(0)
         node.sink.emit(GatewayStopped(node.settings.instance, unfinished))
 
-    def _server(self, name: str, handler: object) -> Http1Server:
+    def _server(self, name: str, handler: Handler) -> Http1Server:
         return Http1Server(
             self._node.reactor,
-            handler,  # type: ignore[arg-type]
+            handler,
             self._complain,
             lambda detail: self._node.sink.emit(RequestRejected(name, detail)),
         )
--- a/packages/gateway/src/sycamorenotch_gateway/_settings.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
@@ -97,11 +96,6 @@
     store: str
     bounds: BoundsSection = field(default_factory=BoundsSection)
 
-    @property
-    def regions(self) -> Mapping[str, str]:
-        """Region of each data centre."""
-        return self.placement.regions
-
 
 def parse_gateway_settings(text: str) -> GatewaySettings:
     """Validate a settings file.
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -13,6 +13,7 @@
 from sycamorenotch_gateway._events import WorkerRemoved
 from sycamorenotch_gateway._follower import Follower
 from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._relay import Relay
 from sycamorenotch_gateway._routes import Routes
 from sycamorenotch_gateway._suspicion import Suspicion
 from sycamorenotch_kernel import Batch
@@ -29,6 +30,10 @@
 # of its return; the rest covers the way of the news.
 RETURN_S = 2.2
 TICK = timedelta(seconds=0.25)
+# Part of a worker's connections that may be idle; the rest is for requests.
+IDLE_PART = 0.5
+# Idle connections of one instance to one worker at most.
+IDLE_CONNECTIONS = 16
 
 
 @gateway_components.register("workers")
@@ -36,7 +41,7 @@
 class Workers:
     """Workers of the store, data centres under evacuation, connection pools."""
 
-    after: ClassVar[tuple[str, ...]] = ("routes", "suspicion")
+    after: ClassVar[tuple[str, ...]] = ("relay", "routes", "suspicion")
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
@@ -48,6 +53,7 @@
         self._tick = node.background(self._turn)
         node.require(Routes).subscribe(self._configured)
         self._suspicion = node.require(Suspicion)
+        self._relay = node.require(Relay)
         node.provide(Workers, self)
 
     def start(self) -> None:
@@ -169,6 +175,17 @@
             self._close(name)
             reason = "its entry did not come back after an outage of the store"
             self._node.sink.emit(WorkerRemoved(name, reason, 0))
-        for pool in self._pools.values():
+        for name, pool in self._pools.items():
+            pool.idle_limit = self._idle_share(name)
             pool.prune()
         return TICK
+
+    def _idle_share(self, worker: str) -> int:
+        """Idle connections of this instance to a worker that all share."""
+        view = self.book.get(worker)
+        limits = None if view is None else self.book.limits.get(view.entry.service)
+        if limits is None or limits.connections <= 0:
+            return IDLE_CONNECTIONS
+        instances = 1 + len(self._relay.peers())
+        share = int(limits.connections * IDLE_PART / instances)
+        return max(1, min(IDLE_CONNECTIONS, share))
--- a/packages/kernel/src/sycamorenotch_kernel/_feeds.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_feeds.py
@@ -91,7 +91,3 @@
     def announce(self, entry: PeerEntry) -> Awaitable[Result[None, FeedError]]:
         """Write this instance's own entry."""
         ...
-
-    def withdraw(self, name: str) -> Awaitable[Result[None, FeedError]]:
-        """Remove an instance's entry."""
-        ...
--- a/packages/transport/src/sycamorenotch_transport/__init__.py
+++ b/packages/transport/src/sycamorenotch_transport/__init__.py
@@ -21,6 +21,7 @@
     from sycamorenotch_transport._http1_messages import HttpResponse
     from sycamorenotch_transport._http1_messages import header
     from sycamorenotch_transport._http1_messages import without_connection_headers
+    from sycamorenotch_transport._http1_server import Handler
     from sycamorenotch_transport._http1_server import Http1Server
     from sycamorenotch_transport._listeners import HttpListener
     from sycamorenotch_transport._resolver import LiteralResolver
@@ -33,6 +34,7 @@
     "Turn": "_background",
     "BytesProducer": "_bodies",
     "ExchangeError": "_http1_client",
+    "Handler": "_http1_server",
     "HeaderPairs": "_http1_messages",
     "Http1Pool": "_http1_client",
     "Http1Server": "_http1_server",
@@ -53,6 +55,7 @@
     "Background",
     "BytesProducer",
     "ExchangeError",
+    "Handler",
     "HeaderPairs",
     "Http1Pool",
     "Http1Server",
--- a/packages/transport/src/sycamorenotch_transport/_http1_client.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -5,7 +5,6 @@
 import re
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 from typing import final
 
@@ -31,6 +30,7 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 # Idle time within which a connection is used again if the server names none.
 DEFAULT_REUSE_S = 4.0
+# Connections kept for further requests, unless the owner sets another limit.
 IDLE_CONNECTIONS = 16
 
 Belongs = Callable[[HttpResponse], bool]
@@ -280,15 +280,6 @@
             self._result.errback(ExchangeError(detail, sent=False, connected=False))
 
 
-@final
-@dataclass(slots=True)
-class PoolCounts:
-    """What a pool has done since it was made."""
-
-    opened: int = 0
-    reused: int = 0
-
-
 @final
 class Http1Pool:
     """Connections to one server, the one used last first.
@@ -302,7 +293,7 @@
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
         self._idle: deque[ClientConnection] = deque()
-        self.counts = PoolCounts()
+        self.idle_limit = IDLE_CONNECTIONS
         self._closed = False
 
     async def exchange(
@@ -321,9 +312,6 @@
         connection = self._take_idle(reuse_s)
         if connection is None:
             connection = await self._open(connect_s)
-            self.counts.opened += 1
-        else:
-            self.counts.reused += 1
         return await connection.exchange(request, belongs)
 
     def close(self) -> None:
@@ -345,7 +333,7 @@
         if connection.usable and not self._closed:
             connection.idle_since = self._clock()
             self._idle.append(connection)
-            while len(self._idle) > IDLE_CONNECTIONS:
+            while len(self._idle) > self.idle_limit:
                 self._idle.popleft().drop()
             return
         if connection in self._idle:
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -101,6 +101,15 @@
     on_site(scenario, count=4, mode="fail")
 
 
+def test_failure_of_a_worker_is_handed_on_when_no_other_is_left(on_site) -> None:
+    async def scenario(site) -> None:
+        answer = await site.call()
+        assert answer.status == 500
+        assert header(answer.headers, "x-response-signature")
+
+    on_site(scenario, count=1, mode="fail")
+
+
 def test_unsafe_failure_of_a_worker_is_handed_on(on_site) -> None:
     async def scenario(site) -> None:
         answer = await site.call("/once/1")
