Harm gateways that run as processes, and check what callers and workers see

Three gateways as separate processes; every connection to the store and the workers passes a proxy that delays, resets, silences or drops one way; signals kill, stop, pause and reload; the store fails and forgets its history; workers crash, shed, cut and fall silent. Checked: unsafe requests run once, repeatable ones at most twice, refused ones never, answers whole and to their request, every gateway serves again within 15 s. Not covered: clocks that step, storage (the gateways have none).

--- a/Makefile
+++ b/Makefile
@@ -8,8 +8,9 @@
 STAMP := $(VENV)/.installed
 SEED ?= 1
 STEPS ?= 2000
+SECONDS ?= 20
 
-.PHONY: setup run platform-run test demo bench soak slopes golden docs format lint types unit
+.PHONY: setup run platform-run fault-soak test demo bench soak slopes golden docs format lint types unit
 
 setup: $(STAMP)
 
@@ -26,6 +27,9 @@
 platform-run: $(STAMP)
 	@$(BIN)/python -m testing.platform.serve
 
+fault-soak: $(STAMP)
+	@$(BIN)/python -m testing.platform.fault_soak --seed=$(SEED) --seconds=$(SECONDS)
+
 demo: $(STAMP)
 	@$(BIN)/python -m sycamorenotch_workbench.demo
 
--- /dev/null
+++ b/testing/platform/fault_soak.py
@@ -0,0 +1,371 @@
+"""Injects faults from outside into gateways that run as separate processes.
+
+Gateways are real processes; the store, the workers and the callers are stand-ins
+of this process, and every connection of a gateway to them passes a proxy. What
+callers and workers see is checked against the promises of the system.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from absl import app
+from absl import flags
+from testing.platform.conftest import ROUTES
+from testing.platform.conftest import SETTINGS
+from testing.platform.conftest import configuration
+from testing.platform.proxies import MODES
+from testing.platform.proxies import Proxy
+from testing.platform.standins import StandInStore
+from testing.platform.standins import StandInWorker
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
+from twisted.internet.defer import gatherResults
+from twisted.internet.protocol import ProcessProtocol
+from twisted.internet.task import deferLater
+
+from sycamorenotch_kernel import load_plugins
+from sycamorenotch_transport import ExchangeError
+from sycamorenotch_transport import Http1Pool
+from sycamorenotch_transport import HttpRequest
+from sycamorenotch_transport import HttpResponse
+from sycamorenotch_transport import header
+from sycamorenotch_transport import install_literal_resolver
+from sycamorenotch_workbench._example import free_ports
+
+SEED = flags.DEFINE_integer("seed", 1, "Seed of the faults and requests.")
+SECONDS = flags.DEFINE_float("seconds", 20.0, "Length of the time with faults.")
+LOGS = flags.DEFINE_string("logs", "build/fault-soak", "Folder for the gateways' logs.")
+
+GATEWAYS = 3
+WORKERS = 6
+CALLERS = 12
+OBJECTS = 12
+ATTEMPTS = 2
+# Time within which every gateway serves again once the faults have ended.
+RECOVERY_S = 15.0
+RESTART_S = 0.3
+WORKER_MODES = ("shed", "fail", "cut", "silent")
+
+
+class GatewayProcess(ProcessProtocol):
+    """One gateway; it is started again when it ends."""
+
+    def __init__(self, soak: Soak, name: str, path: Path, log: Path) -> None:
+        self._soak = soak
+        self.name = name
+        self._path = path
+        self._log = log.open("wb")
+        self.process: Any = None
+        self.paused = False
+
+    def start(self) -> None:
+        if self._soak.finished:
+            return
+        command = [sys.executable, "-m", "sycamorenotch_gateway.main"]
+        command += [f"--settings={self._path}"]
+        out = self._log.fileno()
+        fds = {0: "w", 1: out, 2: out}
+        environment = {"PATH": os.environ["PATH"]}
+        self.process = reactor.spawnProcess(
+            self, command[0], command, env=environment, childFDs=fds
+        )
+
+    def processEnded(self, reason: Any) -> None:
+        self.process = None
+        if not self._soak.finished:
+            reactor.callLater(RESTART_S, self.start)
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.pid:
+            self.process.signalProcess(number.value)
+
+    def pause(self, seconds: float) -> None:
+        if not self.paused:
+            self.paused = True
+            self.signal(signal.SIGSTOP)
+            reactor.callLater(seconds, self.wake)
+
+    def wake(self) -> None:
+        self.paused = False
+        self.signal(signal.SIGCONT)
+
+
+class BusyWorker(StandInWorker):
+    """A stand-in worker that takes some time."""
+
+    def __post_init__(self) -> None:
+        super().__post_init__()
+        self.random = Random(self.name)
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        await deferLater(reactor, self.random.uniform(0.0, 0.03), lambda: None)
+        return await super()._handle(request)
+
+
+@dataclass
+class Soak:
+    """The stand-ins, gateways and checks of one run."""
+
+    seed: int
+    logs: Path
+    store: StandInStore = field(default_factory=StandInStore)
+    finished: bool = False
+    sent: int = 0
+    outcomes: Counter[str] = field(default_factory=Counter)
+    faults: Counter[str] = field(default_factory=Counter)
+    refused: dict[str, int] = field(default_factory=dict)
+    problems: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.random = Random(self.seed)
+        self.logs.mkdir(parents=True, exist_ok=True)
+        self.workers = [
+            BusyWorker(f"i-{n}", zone="ab"[n % 2], slots=8) for n in range(WORKERS)
+        ]
+        self.worker_proxies = [Proxy(worker.server.address) for worker in self.workers]
+        self.version = 1
+        self.store.put("config", "main", configuration())
+        for number in range(WORKERS):
+            self.register(number)
+        ports = iter(free_ports(5 * GATEWAYS))
+        self.store_proxies = [Proxy(self.store.server.address) for _ in range(GATEWAYS)]
+        self.callers: list[str] = []
+        self.gateways = [self._gateway(number, ports) for number in range(GATEWAYS)]
+
+    def _gateway(self, number: int, ports: Any) -> GatewayProcess:
+        text = SETTINGS.format(store=self.store_proxies[number].address)
+        text = text.replace("id = me", f"id = gateway-{number}")
+        for name in ("callers", "readiness", "lookups", "gossip", "metrics"):
+            address = f"127.0.0.1:{next(ports)}"
+            text = text.replace(f"{name} = 127.0.0.1:0", f"{name} = {address}")
+            if name == "callers":
+                self.callers.append(address)
+        path = self.logs / f"gateway-{number}.ini"
+        path.write_text(text)
+        log = self.logs / f"gateway-{number}.log"
+        return GatewayProcess(self, f"gateway-{number}", path, log)
+
+    def register(self, number: int) -> None:
+        entry = self.workers[number].entry
+        entry["address"] = self.worker_proxies[number].address
+        self.store.put("servers", f"i-{number}", entry)
+
+    # Callers
+
+    async def call(self, pool: Http1Pool) -> None:
+        self.sent += 1
+        attempt = f"t{self.sent}"
+        path, kind = self.random.choice(list(ROUTES.items()))
+        headers = (
+            ("Host", "h"),
+            ("X-Attempt-Id", attempt),
+            ("X-Affinity-Key", str(self.random.randrange(OBJECTS))),
+            ("X-Remaining-Milliseconds", "2000"),
+        )
+        method = "POST" if kind == "unsafe" else "GET"
+        request = HttpRequest(method, f"{path}{attempt}", headers)
+        exchange = Deferred.fromCoroutine(pool.exchange(request, 1.0))
+        exchange.addTimeout(4.0, reactor)
+        try:
+            response = await exchange
+        except ExchangeError as exc:
+            self.outcomes["cut" if exc.connected else "not connected"] += 1
+            return
+        except DeferredTimeoutError:
+            self.outcomes["no answer"] += 1
+            return
+        self.outcomes[str(response.status)] += 1
+        self.check_answer(attempt, kind, response)
+
+    def check_answer(self, attempt: str, kind: str, response: HttpResponse) -> None:
+        if response.status == 200:
+            worker = header(response.headers, "x-response-signature").partition(".")[0]
+            if attempt not in self.ran_at(worker):
+                self.problems.append(f"{attempt}: answered by {worker}, ran elsewhere")
+            if header(response.headers, "x-attempt-id") != attempt:
+                self.problems.append(f"{attempt}: answer to another request")
+            if response.body != worker.encode():
+                self.problems.append(f"{attempt}: body of another worker or cut")
+        elif response.status in (408, 421, 429, 503) and kind == "unsafe":
+            self.refused[attempt] = response.status
+
+    def ran_at(self, worker: str) -> list[str]:
+        found = [item for item in self.workers if item.name == worker]
+        return found[0].ran if found else []
+
+    def check_runs(self) -> None:
+        runs = Counter(attempt for worker in self.workers for attempt in worker.ran)
+        unsafe = {
+            header(request.headers, "x-attempt-id")
+            for worker in self.workers
+            for request in worker.requests
+            if request.method == "POST"
+        }
+        for attempt, count in runs.items():
+            if count > (1 if attempt in unsafe else ATTEMPTS):
+                self.problems.append(f"{attempt}: ran {count} times")
+            if attempt in self.refused:
+                self.problems.append(f"{attempt}: {self.refused[attempt]}, but it ran")
+
+    async def caller(self) -> None:
+        while not self.finished:
+            pool = Http1Pool(reactor, self.random.choice(self.callers), reactor.seconds)
+            for _ in range(self.random.randrange(1, 30)):
+                if self.finished:
+                    break
+                await self.call(pool)
+                await deferLater(reactor, self.random.uniform(0.0, 0.05), lambda: None)
+            pool.close()
+
+    # Faults
+
+    async def inject(self, seconds: float) -> None:
+        end = reactor.seconds() + seconds
+        kinds: dict[str, Callable[[], None]] = {
+            "kill": lambda: self.any_gateway().signal(signal.SIGKILL),
+            "term": lambda: self.any_gateway().signal(signal.SIGTERM),
+            "hup": lambda: self.any_gateway().signal(signal.SIGHUP),
+            "pause": lambda: self.any_gateway().pause(self.random.uniform(0.2, 2.0)),
+            "worker": self.harm_worker,
+            "worker-link": lambda: self.harm(self.worker_proxies),
+            "store-link": lambda: self.harm(self.store_proxies),
+            "worker-restart": self.restart_worker,
+            "store-down": self.stop_store,
+            "store-history": self.store.forget_history,
+            "configuration": self.change_configuration,
+            "evacuation": self.evacuate,
+        }
+        while reactor.seconds() < end:
+            name = self.random.choice(sorted(kinds))
+            self.faults[name] += 1
+            kinds[name]()
+            await deferLater(reactor, self.random.uniform(0.05, 0.6), lambda: None)
+
+    def any_gateway(self) -> GatewayProcess:
+        return self.random.choice(self.gateways)
+
+    def harm_worker(self) -> None:
+        worker = self.random.choice(self.workers)
+        worker.mode = self.random.choice(WORKER_MODES)
+        reactor.callLater(self.random.uniform(0.2, 2.0), setattr, worker, "mode", "run")
+
+    def harm(self, proxies: list[Proxy]) -> None:
+        proxy = self.random.choice(proxies)
+        proxy.set_mode(self.random.choice(MODES))
+        reactor.callLater(self.random.uniform(0.2, 2.0), proxy.set_mode, "")
+
+    def restart_worker(self) -> None:
+        number = self.random.randrange(WORKERS)
+        worker = self.workers[number]
+        for connection in tuple(worker.server.connections):
+            connection.transport.abortConnection()
+        worker.born += 1
+        self.register(number)
+
+    def stop_store(self) -> None:
+        self.store.down = True
+        self.store.cut_watches(503)
+        delay = self.random.uniform(0.2, 2.0)
+        reactor.callLater(delay, setattr, self.store, "down", False)
+
+    def change_configuration(self) -> None:
+        self.version += 1
+        timeout = f"{self.random.randrange(500, 2500)}ms"
+        self.store.put("config", "main", configuration(self.version, timeout=timeout))
+
+    def evacuate(self) -> None:
+        if ("evacuations", "a") in self.store.objects:
+            self.store.remove("evacuations", "a")
+        else:
+            self.store.put("evacuations", "a", {})
+
+    # The run
+
+    async def run(self, seconds: float) -> None:
+        for gateway in self.gateways:
+            gateway.start()
+        await self.until_served()
+        callers = [Deferred.fromCoroutine(self.caller()) for _ in range(CALLERS)]
+        await self.inject(seconds)
+        self.calm()
+        await deferLater(reactor, 3.0, lambda: None)
+        self.finished = True
+        await gatherResults(callers, consumeErrors=True)
+        await self.until_served()
+        self.check_runs()
+
+    def end(self) -> None:
+        """End the gateways, whatever became of the run."""
+        self.finished = True
+        for gateway in self.gateways:
+            gateway.wake()
+            gateway.signal(signal.SIGKILL)
+
+    def calm(self) -> None:
+        self.store.down = False
+        if ("evacuations", "a") in self.store.objects:
+            self.store.remove("evacuations", "a")
+        for proxy in (*self.worker_proxies, *self.store_proxies):
+            proxy.set_mode("")
+        for worker in self.workers:
+            worker.mode = "run"
+        for gateway in self.gateways:
+            gateway.wake()
+
+    async def until_served(self) -> None:
+        """Wait until every gateway serves, or report the one that does not."""
+        end = reactor.seconds() + RECOVERY_S
+        for address in self.callers:
+            while not await self.serves(address):
+                if reactor.seconds() > end:
+                    self.problems.append(f"{address} does not serve after the faults")
+                    break
+                await deferLater(reactor, 0.1, lambda: None)
+
+    async def serves(self, address: str) -> bool:
+        before = self.outcomes["200"]
+        pool = Http1Pool(reactor, address, reactor.seconds)
+        await self.call(pool)
+        pool.close()
+        return self.outcomes["200"] > before
+
+
+async def _whole(soak: Soak) -> None:
+    await soak.run(SECONDS.value)
+    print(f"seed {soak.seed}: {soak.sent} requests, {dict(soak.outcomes)}")
+    print(f"faults: {dict(soak.faults)}")
+    for problem in soak.problems:
+        print(f"VIOLATION {problem}")
+
+
+def _run(argv: list[str]) -> int:
+    load_plugins()
+    install_literal_resolver(reactor)
+    soak = Soak(SEED.value, Path(LOGS.value) / str(SEED.value))
+    failures: list[str] = []
+
+    def ended(result: Any) -> None:
+        if result is not None:
+            failures.append(str(result))
+            print(result)
+        soak.end()
+        reactor.callLater(0.5, reactor.stop)
+
+    reactor.callWhenRunning(lambda: Deferred.fromCoroutine(_whole(soak)).addBoth(ended))
+    reactor.run()
+    return 1 if soak.problems or failures else 0
+
+
+if __name__ == "__main__":
+    app.run(_run)
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -67,14 +67,16 @@
     def cut_watches(self, status: int = 410) -> None:
         waiting, self._waiting = self._waiting, []
         for _, _, answer in waiting:
-            answer.callback(as_json({}, status))
+            if not answer.called:
+                answer.callback(as_json({}, status))
 
     def _changed(self, kind: str, item: dict, deleted: bool) -> None:
         self.changes.append((self.revision, kind, item, deleted))
         ready = [entry for entry in self._waiting if entry[0] == kind]
         self._waiting = [entry for entry in self._waiting if entry[0] != kind]
         for _, after, answer in ready:
-            answer.callback(self._events(kind, after))
+            if not answer.called:
+                answer.callback(self._events(kind, after))
 
     def _events(self, kind: str, after: int) -> HttpResponse:
         events = [
