--- a/packages/transport/src/sycamorenotch_transport/_http1_client.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -111,6 +111,7 @@
             out.append(self._http.send(h11.EndOfMessage()))
         except h11.LocalProtocolError as exc:
             self._fail(f"the request cannot be encoded: {exc}", sent=False)
+            self.drop()
             return waiting
         self.transport.write(b"".join(filter(None, out)))
         return waiting
--- a/testing/transport/test_http1_client.py
+++ b/testing/transport/test_http1_client.py
@@ -174,3 +174,11 @@
     servers.exchange(HttpRequest("POST", "/a", (("Host", "h"),), b"abc"))
     transport = servers.accept()
     assert b"Content-Length: 3\r\n\r\nabc" in transport.value()
+
+
+def test_connection_is_closed_when_the_request_cannot_be_encoded(servers) -> None:
+    servers.exchange(HttpRequest("GET", "/a", (("Host", "h"), ("X", "a\nb"))))
+    transport = servers.accept()
+    assert not servers.error.sent
+    assert transport.aborted
+    assert transport.value() == b""
