Notice a dead instance in time at 84 instances

Cause: with 60 datagrams a second the beat at 84 instances is 1.4 s and a dead instance was named for up to 6.9 s; the users' bound is 7 s. The new test fails at 150 instances without the change. Sites of up to 30 instances are as before.

--- a/packages/policies/src/sycamorenotch_policies/_liveness.py
+++ b/packages/policies/src/sycamorenotch_policies/_liveness.py
@@ -14,7 +14,7 @@
 # Shortest interval between two datagrams to one peer.
 SHORTEST_BEAT_S = 0.5
 # Datagrams that one instance sends in a second.
-BEATS_PER_SECOND = 60.0
+BEATS_PER_SECOND = 120.0
 
 
 def beat_interval_s(peers: int) -> float:
--- a/testing/policies/test_liveness.py
+++ b/testing/policies/test_liveness.py
@@ -80,3 +80,12 @@
 def test_lookup_names_other_regions_when_none_is_near() -> None:
     found = lookup_answer([peer("q", "c")], "west", "a", 64)
     assert [entry.id for entry in found] == ["q"]
+
+
+@pytest.mark.parametrize("instances", [2, 10, 62, 84, 150])
+def test_dead_instance_is_noticed_within_the_bound_of_look_ups(instances) -> None:
+    # The users' bound is seven seconds after the end of an instance.
+    liveness = Liveness("me")
+    for number in range(instances - 1):
+        liveness.hear(beat(f"i{number}"), 0.0)
+    assert liveness.live(7.0) == ()
