--- a/packages/transport/src/sycamorenotch_transport/__init__.py
+++ b/packages/transport/src/sycamorenotch_transport/__init__.py
@@ -14,13 +14,13 @@
     from sycamorenotch_transport._bounded_http import WireAnswer
     from sycamorenotch_transport._bounded_http import WireProblem
     from sycamorenotch_transport._http1_client import ExchangeError
-    from sycamorenotch_transport._http1_client import Http1Pool
     from sycamorenotch_transport._http1_messages import HeaderPairs
     from sycamorenotch_transport._http1_messages import HttpBounds
     from sycamorenotch_transport._http1_messages import HttpRequest
     from sycamorenotch_transport._http1_messages import HttpResponse
     from sycamorenotch_transport._http1_messages import header
     from sycamorenotch_transport._http1_messages import without_connection_headers
+    from sycamorenotch_transport._http1_pool import Http1Pool
     from sycamorenotch_transport._http1_server import Handler
     from sycamorenotch_transport._http1_server import Http1Server
     from sycamorenotch_transport._listeners import HttpListener
@@ -36,7 +36,7 @@
     "ExchangeError": "_http1_client",
     "Handler": "_http1_server",
     "HeaderPairs": "_http1_messages",
-    "Http1Pool": "_http1_client",
+    "Http1Pool": "_http1_pool",
     "Http1Server": "_http1_server",
     "HttpBounds": "_http1_messages",
     "HttpListener": "_listeners",
--- a/packages/transport/src/sycamorenotch_transport/_http1_client.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-from collections import deque
 from collections.abc import Callable
 from typing import Any
 from typing import final
@@ -11,7 +10,6 @@
 import h11
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import ClientFactory
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
@@ -30,8 +28,6 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 # Idle time within which a connection is used again if the server names none.
 DEFAULT_REUSE_S = 4.0
-# Connections kept for further requests, unless the owner sets another limit.
-IDLE_CONNECTIONS = 16
 
 Belongs = Callable[[HttpResponse], bool]
 
@@ -62,7 +58,8 @@
         self.began = began
 
 
-def _always(response: HttpResponse) -> bool:
+def any_response(response: HttpResponse) -> bool:
+    """Accept every response as one to the request."""
     return True
 
 
@@ -74,7 +71,7 @@
         self._done = done
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
         self._waiting: Deferred[HttpResponse] | None = None
-        self._belongs: Belongs = _always
+        self._belongs: Belongs = any_response
         self._sent_head: h11.Request | None = None
         self._head: h11.Response | None = None
         self._body: list[bytes] = []
@@ -251,110 +248,3 @@
         target=request.target.encode("latin-1"),
         headers=encode_headers(headers),
     )
-
-
-@final
-class _Connector(ClientFactory):
-    noisy = False
-
-    def __init__(self, result: Deferred[ClientConnection], pool: Http1Pool) -> None:
-        self._result = result
-        self._pool = pool
-
-    def buildProtocol(self, addr: Any) -> Protocol:
-        connection = ClientConnection(self._pool.give_back)
-        made = connection.connectionMade
-
-        def connection_made() -> None:
-            made()
-            if self._result.called:
-                connection.drop()
-            else:
-                self._result.callback(connection)
-
-        connection.connectionMade = connection_made  # type: ignore[method-assign]
-        return connection
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        if not self._result.called:
-            detail = reason.getErrorMessage()
-            self._result.errback(ExchangeError(detail, sent=False, connected=False))
-
-
-@final
-class Http1Pool:
-    """Connections to one server, the one used last first.
-
-    :param clock: seconds on the monotonic clock.
-    """
-
-    def __init__(self, reactor: Any, address: str, clock: Callable[[], float]) -> None:
-        self._reactor = reactor
-        self._clock = clock
-        host, _, port = address.rpartition(":")
-        self._host, self._port = host, int(port)
-        self._idle: deque[ClientConnection] = deque()
-        self.idle_limit = IDLE_CONNECTIONS
-        self._closed = False
-
-    async def exchange(
-        self,
-        request: HttpRequest,
-        connect_s: float,
-        belongs: Belongs = _always,
-        reuse_s: float = 1e9,
-    ) -> HttpResponse:
-        """Send a request and wait for the whole answer.
-
-        :param connect_s: bound on opening a connection.
-        :param reuse_s: longest idle time of a connection that may be used.
-        :raises ExchangeError: if no whole answer arrives.
-        """
-        connection = self._take_idle(reuse_s)
-        if connection is None:
-            connection = await self._open(connect_s)
-        return await connection.exchange(request, belongs)
-
-    def close(self) -> None:
-        """Close the idle connections; those in use are closed when they end."""
-        self._closed = True
-        while self._idle:
-            self._idle.pop().drop()
-
-    def prune(self) -> None:
-        """Close connections that are idle for too long to be used again."""
-        now = self._clock()
-        for connection in tuple(self._idle):
-            if now - connection.idle_since >= connection.reuse_s:
-                self._idle.remove(connection)
-                connection.drop()
-
-    def give_back(self, connection: ClientConnection) -> None:
-        """Take a connection whose exchange has ended."""
-        if connection.usable and not self._closed:
-            connection.idle_since = self._clock()
-            self._idle.append(connection)
-            while len(self._idle) > self.idle_limit:
-                self._idle.popleft().drop()
-            return
-        if connection in self._idle:
-            self._idle.remove(connection)
-        if connection.usable:
-            connection.drop()
-
-    def _take_idle(self, reuse_s: float) -> ClientConnection | None:
-        now = self._clock()
-        while self._idle:
-            connection = self._idle.pop()
-            idle = now - connection.idle_since
-            if connection.usable and idle < min(reuse_s, connection.reuse_s):
-                return connection
-            connection.drop()
-        return None
-
-    def _open(self, connect_s: float) -> Deferred[ClientConnection]:
-        result: Deferred[ClientConnection] = Deferred(lambda _: connector.disconnect())
-        connector = self._reactor.connectTCP(
-            self._host, self._port, _Connector(result, self), connect_s
-        )
-        return result
