Start the example of a test with SIGINT as a terminal has it

Such shells ignore SIGINT for their background commands, children inherit that, and Twisted installs no handler. Ruled out: load. The test alone fails each time when started that way, and passes three times in a row from a shell with job control beside the same load. Change: the test resets the disposition in the child; limit and checks are the same. After: it passes started both ways.

--- a/testing/workbench/test_run.py
+++ b/testing/workbench/test_run.py
@@ -20,12 +20,20 @@
 TOKEN = Path("build/local/operator.token")
 
 
+def _accept_interrupts() -> None:
+    # A shell without job control starts background commands with SIGINT ignored,
+    # which the example would inherit from the test run.
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
 def test_run_prints_one_line_and_exits_0_when_signalled(
     number: signal.Signals, tmp_path: Path
 ) -> None:
     command = [sys.executable, "-m", "sycamorenotch_workbench.run"]
-    process = subprocess.Popen(command, stdout=subprocess.PIPE, cwd=tmp_path)
+    process = subprocess.Popen(
+        command, stdout=subprocess.PIPE, cwd=tmp_path, preexec_fn=_accept_interrupts
+    )
     assert process.stdout is not None
     described = json.loads(process.stdout.readline())
     assert described["ready"] is True
