--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -86,6 +86,7 @@
 from sycamorenotch_policies._plan_checks import excess_grants
 from sycamorenotch_policies._plan_checks import excess_links
 from sycamorenotch_policies._plan_checks import excess_shifts
+from sycamorenotch_policies._quarantine import STRIKE_LIFETIME
 from sycamorenotch_policies._quarantine import Quarantine
 from sycamorenotch_policies._quarantine import Signature
 from sycamorenotch_policies._quarantine import Strike
@@ -131,6 +132,7 @@
     "GONE_GRACE_PERIOD",
     "LAPSE_MARGIN",
     "LOAN_LIFETIME",
+    "STRIKE_LIFETIME",
     "AdaptiveIdleTimeout",
     "AdmissionDecision",
     "AdmissionDecisions",
--- a/packages/policies/src/sycamorenotch_policies/_quarantine.py
+++ b/packages/policies/src/sycamorenotch_policies/_quarantine.py
@@ -107,6 +107,10 @@
         """Clear the strikes of a request that a worker has answered."""
         self._records.pop(signature, None)
 
+    def is_suspect(self, signature: Signature) -> bool:
+        """Return whether strikes count against a request."""
+        return signature in self._records
+
     def strikes_since(self, sequence: int, now: timedelta) -> tuple[Strike, ...]:
         """Return the strikes of this instance after a sequence number."""
         return tuple(
