Close idle connections of a stopped listener

Cause: a listener that was stopped kept its idle connections and served requests on them after the components behind it had stopped. Change: a stopped listener closes idle connections, others after their answer; the stand-ins of the local example close theirs.

--- a/packages/transport/src/sycamorenotch_transport/_bounded_http.py
+++ b/packages/transport/src/sycamorenotch_transport/_bounded_http.py
@@ -102,13 +102,19 @@
 
     :param limits: limits on one request.
     :param build_rejection: builds the response to a rejected request.
+    :param on_lost: called once when the connection is lost.
     """
 
     def __init__(
-        self, reactor: Any, limits: RequestLimits, build_rejection: BuildRejection
+        self,
+        reactor: Any,
+        limits: RequestLimits,
+        build_rejection: BuildRejection,
+        on_lost: Callable[[LimitedChannel], None],
     ) -> None:
         super().__init__()
         self.limits = limits
+        self._on_lost = on_lost
         self.totalHeadersSize = limits.header_bytes
         self._reactor = reactor
         self._build_rejection = build_rejection
@@ -149,8 +155,16 @@
     def connectionLost(self, reason: Any) -> None:
         """Cancel the receive timer."""
         self._stop_timer()
+        self._on_lost(self)
         super().connectionLost(reason)
 
+    def close_when_idle(self) -> None:
+        """Close the connection, after the answer if a request is in progress."""
+        if self.requests:
+            self.persistent = False
+        else:
+            self.loseConnection()
+
     def reject(self, rejection_reason: RejectionReason) -> None:
         """Answer the request that is being received and close the connection."""
         if self._rejected:
--- a/packages/transport/src/sycamorenotch_transport/_listeners.py
+++ b/packages/transport/src/sycamorenotch_transport/_listeners.py
@@ -48,6 +48,7 @@
         self._limits = limits
         self._port: IListeningPort | None = None
         self._open_requests: set[Request] = set()
+        self._channels: set[LimitedChannel] = set()
         self._drained: Deferred[None] | None = None
 
     async def start(self, resource: IResource) -> None:
@@ -65,7 +66,10 @@
         self._port = await endpoint.listen(site)
 
     async def stop(self, timeout: timedelta) -> int:
-        """Stop listening, then wait for open requests.
+        """Stop listening, wait for open requests, then close idle connections.
+
+        A connection left open would serve requests of callers that keep it after
+        the components behind this listener have stopped.
 
         :param timeout: maximum time to wait for open requests.
         :return: number of requests that are still open.
@@ -78,10 +82,16 @@
                 timeout.total_seconds(), self._reactor, lambda result, _: None
             )
             await self._drained
+        for channel in tuple(self._channels):
+            channel.close_when_idle()
         return len(self._open_requests)
 
     def _build_channel(self) -> LimitedChannel:
-        return LimitedChannel(self._reactor, self._limits, self._build_rejection)
+        channel = LimitedChannel(
+            self._reactor, self._limits, self._build_rejection, self._channels.discard
+        )
+        self._channels.add(channel)
+        return channel
 
     def _finish(self, req: Request) -> None:
         self._open_requests.discard(req)
--- a/packages/workbench/src/sycamorenotch_workbench/_example.py
+++ b/packages/workbench/src/sycamorenotch_workbench/_example.py
@@ -15,8 +15,6 @@
 
 from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.interfaces import IListeningPort
-from twisted.web.resource import IResource
-from twisted.web.server import Site
 
 from sycamorenotch_daemon import Daemon
 from sycamorenotch_daemon import build_daemon
@@ -33,6 +31,7 @@
 LOOPBACK = "127.0.0.1"
 LISTENING_PORTS = range(12_000, 32_000)
 TOKEN_FILE_MODE = 0o600
+MAX_STORE_CONNECTIONS = 1_000
 ADDRESS_PATTERN = re.compile(r"10\.\d+\.\d+\.\d+:\d+")
 
 SETTINGS = """\
@@ -76,6 +75,7 @@
     ) -> None:
         self._reactor = reactor
         self._ports: list[IListeningPort] = []
+        self._sites: list[LimitedSite] = []
         self._directory = TemporaryDirectory()
         self._count = instances
         self.token_file = (state or Path(self._directory.name)) / "operator.token"
@@ -104,6 +104,8 @@
             await daemon.stop(linger=False)
         for port in self._ports:
             await port.stopListening()
+        for site in self._sites:
+            site.close_connections()
         self._directory.cleanup()
 
     def describe(self) -> dict[str, Any]:
@@ -145,19 +147,16 @@
         ]
         return locations[: self._count]
 
-    async def _listen(self, resource: IResource) -> int:
-        site = Site(resource)
-        site.displayTracebacks = False
-        return await self._listen_site(site)
-
-    async def _listen_site(self, site: Site, port: int = 0) -> int:
+    async def _listen(self, site: LimitedSite, port: int = 0) -> int:
         endpoint = TCP4ServerEndpoint(self._reactor, port, interface=LOOPBACK)
         listening = await endpoint.listen(site)
         self._ports.append(listening)
+        self._sites.append(site)
         return listening.getHost().port
 
     async def _start_store(self) -> None:
-        port = await self._listen(self.store_api.app.resource())
+        site = LimitedSite(self.store_api.app.resource(), MAX_STORE_CONNECTIONS)
+        port = await self._listen(site)
         self.store_url = f"http://{LOOPBACK}:{port}"
 
     async def _start_workers(self) -> None:
@@ -168,7 +167,7 @@
             )
             port = int(worker.address.rpartition(":")[2])
             site = LimitedSite(standin.app.resource(), worker.connections)
-            await self._listen_site(site, port)
+            await self._listen(site, port)
             self.workers[worker.name] = standin
 
     async def _start_daemon(self, region: str, data_centre: str) -> None:
--- a/testing/transport/test_bounded_requests.py
+++ b/testing/transport/test_bounded_requests.py
@@ -187,3 +187,34 @@
         await calling
 
     run_in_reactor(scenario())
+
+
+def test_stop_closes_idle_connections(run_in_reactor) -> None:
+    async def scenario() -> None:
+        listener = build_listener()
+        await listener.start(Echo())
+        client = await connectProtocol(address(listener), RawClient())
+        client.transport.write(b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+        await deferLater(reactor, 0.05)
+        assert client.received.startswith(b"HTTP/1.1 200")
+        await listener.stop(timedelta())
+        client.transport.write(b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+        assert (await client.closed).count(b"HTTP/1.1") == 1
+
+    run_in_reactor(scenario())
+
+
+def test_connection_with_an_open_request_closes_after_the_answer_when_stopping(
+    run_in_reactor,
+) -> None:
+    async def scenario() -> None:
+        listener = build_listener()
+        await listener.start(Echo())
+        calling = Deferred.fromCoroutine(
+            exchange(address(listener), b"GET / HTTP/1.1\r\n\r\n")
+        )
+        await deferLater(reactor, 0.05)
+        assert await listener.stop(timedelta(milliseconds=20)) == 1
+        assert b"late" in await calling
+
+    run_in_reactor(scenario())
--- a/testing/workbench/test_example.py
+++ b/testing/workbench/test_example.py
@@ -9,6 +9,12 @@
 import pytest
 import treq
 from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.endpoints import connectProtocol
+from twisted.internet.protocol import Protocol
+from twisted.internet.protocol import connectionDone
+from twisted.python.failure import Failure
 
 from sycamorenotch_workbench import LocalExample
 
@@ -86,3 +92,47 @@
             assert len(response.headers.getRawHeaders(name)) == 1, name
 
     run_in_reactor(scenario())
+
+
+def test_kept_connections_are_closed_when_the_example_stops(
+    run_in_reactor: Callable[..., Any],
+) -> None:
+    # A later example may get the same port; a client that still had the connection
+    # would reach the earlier one.
+    async def scenario() -> None:
+        example = LocalExample(reactor, instances=1)
+        await example.start()
+        listening = example.describe()
+        names = ("callers", "operators", "upstreams")
+        kept = [await _keep_connection(listening[name][0]) for name in names]
+        kept.append(await _keep_connection(example.store_url))
+        await example.stop()
+        assert all([b"HTTP/1.1" in await client.closed for client in kept])
+
+    run_in_reactor(scenario())
+
+
+async def _keep_connection(url: str) -> _KeptConnection:
+    host, _, port = url.removeprefix("http://").rpartition(":")
+    endpoint = TCP4ClientEndpoint(reactor, host, int(port))
+    client = await connectProtocol(endpoint, _KeptConnection())
+    client.transport.write(b"GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n")
+    await client.answered
+    return client
+
+
+class _KeptConnection(Protocol):
+    """Keeps what it receives until the connection closes."""
+
+    def __init__(self) -> None:
+        self.answered: Deferred[None] = Deferred()
+        self.closed: Deferred[bytes] = Deferred()
+        self._received = b""
+
+    def dataReceived(self, data: bytes) -> None:
+        self._received += data
+        if not self.answered.called:
+            self.answered.callback(None)
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        self.closed.callback(self._received)
