Name what an assumed cold start was concluded from

Cause: workers that could not be reached, or whose data centre was evacuated, are taken to be cold; the refusal then said "in cold start", which explained nothing.

--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from enum import Enum
+from enum import unique
 from math import inf
 from typing import final
 
@@ -26,6 +28,16 @@
 MIN_SILENCE_TIMEOUT_S = 1.2
 
 
+@final
+@unique
+class ColdCause(Enum):
+    """Why a worker is taken to be cold, as text for the log."""
+
+    REPORTED = "are in cold start"
+    UNREACHABLE = "may be cold after they could not be reached"
+    EVACUATED = "may be cold after an evacuation"
+
+
 @final
 @dataclass(slots=True)
 class WorkerView:
@@ -43,6 +55,7 @@
     :param unreachable: whether the worker could not be connected to since its
         last regular answer.
     :param cold_until: end of the cold start, with a limited request rate.
+    :param cold_cause: why the worker is taken to be cold until then.
     :param missing_until: time at which the worker is removed unless its expired
         entry comes back; none while the entry is present.
     :param latency_s: moving average of the latency of regular answers.
@@ -60,6 +73,7 @@
     backoff_until: float = -1e9
     unreachable: bool = False
     cold_until: float = -1e9
+    cold_cause: ColdCause = ColdCause.REPORTED
     missing_until: float | None = None
     latency_s: float | None = None
     last_answer_at: float = -1e9
@@ -133,6 +147,11 @@
             latency_s if known is None else known + LATENCY_WEIGHT * (latency_s - known)
         )
 
+    def record_cold_start(self, until: float, cause: ColdCause) -> None:
+        """Record that the worker is taken to be cold until a time."""
+        self.cold_until = until
+        self.cold_cause = cause
+
     def record_failure(self, now: float, cold_s: float, *, unreachable: bool) -> None:
         """Record a failure that may mean that the worker is down.
 
@@ -146,6 +165,8 @@
         self.backoff_until = now + backoff_s
         if unreachable:
             self.unreachable = True
+            if now >= self.cold_until:
+                self.cold_cause = ColdCause.UNREACHABLE
             self.cold_until = max(self.cold_until, self.backoff_until + cold_s)
 
 
@@ -205,7 +226,12 @@
                 view.entry.data_centre in self._evacuated for view in views
             ),
             "pause after failures": sum(now < view.backoff_until for view in views),
-            "are in cold start": sum(now < view.cold_until for view in views),
+            **{
+                cause.value: sum(
+                    now < view.cold_until and view.cold_cause is cause for view in views
+                )
+                for cause in ColdCause
+            },
             "are unresponsive": sum(now >= view.unresponsive_from() for view in views),
         }
         parts = [f"{count} {what}" for what, count in counts.items() if count]
@@ -229,7 +255,7 @@
         else:
             view.entry = entry
             if entry.cold_s > 0:
-                view.cold_until = now + entry.cold_s
+                view.record_cold_start(now + entry.cold_s, ColdCause.REPORTED)
         view.missing_until = None
         view.seen_at = now
         self._views[entry.id] = view
@@ -281,7 +307,8 @@
         for view in self._views.values():
             if view.entry.data_centre in returned:
                 cold_s = self.cold_s(view.entry.service)
-                view.cold_until = max(view.cold_until, now + cold_s)
+                until = max(view.cold_until, now + cold_s)
+                view.record_cold_start(until, ColdCause.EVACUATED)
         self._evacuated = data_centres
         self._rebuild_index()
 
--- /dev/null
+++ b/testing/policies/test_worker_directory.py
@@ -0,0 +1,50 @@
+"""Tests of what an instance knows of the workers."""
+
+from __future__ import annotations
+
+from sycamorenotch_kernel import ServiceLimits
+from sycamorenotch_kernel import WorkerEntry
+from sycamorenotch_policies import WorkerDirectory
+
+
+def build_directory(*entries: WorkerEntry) -> WorkerDirectory:
+    directory = WorkerDirectory(lambda data_centre: "west")
+    directory.limits["s"] = ServiceLimits("s", cold_rate=4.0, cold_s=3.0)
+    for entry in entries:
+        directory.put(entry, 0.0)
+    return directory
+
+
+def entry(name: str, cold_s: float = 0.0) -> WorkerEntry:
+    return WorkerEntry(name, "s", "10.0.0.1:80", "a", 4, False, cold_s)
+
+
+def test_description_tells_a_cold_start_from_one_that_is_assumed() -> None:
+    directory = build_directory(entry("reported", cold_s=3.0), entry("lost"))
+    directory.get("lost").record_failure(0.0, 3.0, unreachable=True)
+    assert directory.describe("s", 1.0) == (
+        "2 workers known, 1 are in cold start, "
+        "1 may be cold after they could not be reached"
+    )
+
+
+def test_reported_cold_start_replaces_one_that_was_assumed() -> None:
+    directory = build_directory(entry("w"))
+    directory.get("w").record_failure(0.0, 3.0, unreachable=True)
+    directory.put(entry("w", cold_s=3.0), 1.0)
+    assert directory.describe("s", 1.0) == "1 workers known, 1 are in cold start"
+
+
+def test_lost_connection_does_not_hide_a_reported_cold_start() -> None:
+    directory = build_directory(entry("w", cold_s=3.0))
+    directory.get("w").record_failure(2.0, 3.0, unreachable=True)
+    assert "1 are in cold start" in directory.describe("s", 2.5)
+
+
+def test_description_names_the_evacuation_before_an_assumed_cold_start() -> None:
+    directory = build_directory(entry("w"))
+    directory.evacuate(frozenset({"a"}), 0.0)
+    directory.evacuate(frozenset(), 1.0)
+    assert directory.describe("s", 2.0) == (
+        "1 workers known, 1 may be cold after an evacuation"
+    )
