Try a second worker beside one whose answer is overdue

Cause: a worker that gave no answer for 1.2 s, or for five times its mean latency, was given up and the request failed or was sent again. Change: silence ends no attempt. When an answer is overdue by the latencies that the service showed, a second worker is tried beside the first, within the retry budget, and the first answer counts. Several unreachable workers in its data centre shorten the wait; a service that is slow as a whole gets no second tries.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 from typing import final
@@ -21,16 +22,18 @@
 from sycamorenotch_kernel import Ran
 from sycamorenotch_kernel import Verdict
 from sycamorenotch_kernel import WorkerReply
+from sycamorenotch_policies import MIN_WAIT_S
 from sycamorenotch_policies import ChosenWorker
 from sycamorenotch_policies import WorkerView
+from sycamorenotch_policies import overdue_after_s
 from sycamorenotch_transport import ExchangeError
 from sycamorenotch_transport import HttpResponse
 
 # Several round trips between regions. A lost SYN is retransmitted only after a
 # second, in which another worker can answer.
 CONNECT_TIMEOUT_S = 0.5
-# Minimum delay between two checks for a silent worker.
-MIN_SILENCE_CHECK_S = 0.05
+# Delay between two checks whether a request is overdue.
+OVERDUE_CHECK_INTERVAL_S = 0.2
 # Added to the worker's deadline, so that an answer sent at the deadline arrives.
 DEADLINE_GRACE_S = 0.1
 
@@ -67,17 +70,30 @@
         route: ForwardingRoute,
         chosen: ChosenWorker,
         deadline: float,
+        on_overdue: Callable[[], None],
     ) -> AttemptOutcome:
         """Send a request and wait for the answer or the deadline.
 
         :param deadline: time on the monotonic clock, in seconds.
+        :param on_overdue: called once if the answer takes so long that a second
+            worker should be tried.
         """
         view = chosen.view
         started_at = self._node.clock()
         view.record_start(started_at)
+        watch = _OverdueWatch(
+            self._node, self._workers, view, deadline - started_at, on_overdue
+        )
+        if route.kind.repeatable:
+            watch.start()
         try:
-            outcome = await self._exchange(call, route, view, deadline)
+            outcome = await self._exchange(call, view, deadline)
+        except CancelledError:
+            if watch.overdue:
+                self._report_overtaken(call, chosen, started_at)
+            raise
         finally:
+            watch.stop()
             view.record_end(started_at)
         now = self._node.clock()
         reply = outcome.reply
@@ -94,17 +110,10 @@
         return outcome
 
     async def _exchange(
-        self,
-        call: ForwardCall,
-        route: ForwardingRoute,
-        view: WorkerView,
-        deadline: float,
+        self, call: ForwardCall, view: WorkerView, deadline: float
     ) -> AttemptOutcome:
         started_at = self._node.clock()
         exchange = self._start_exchange(call, view, started_at, deadline - started_at)
-        silence_timeout: _SilenceTimeout | None = None
-        if route.kind.repeatable:
-            silence_timeout = _SilenceTimeout(self._node, view, exchange)
         try:
             response = await exchange
         except ExchangeError as exc:
@@ -114,14 +123,6 @@
             return AttemptOutcome(
                 Ran.UNKNOWN, "no answer before the deadline", timed_out=True
             )
-        except CancelledError:
-            if silence_timeout is None or not silence_timeout.expired:
-                raise
-            detail = f"the worker has been silent for {view.silence_timeout_s():.1f} s"
-            return AttemptOutcome(Ran.UNKNOWN, detail)
-        finally:
-            if silence_timeout is not None:
-                silence_timeout.stop()
         return _classify(self._node.dialect.decode_reply(response))
 
     def _start_exchange(
@@ -168,23 +169,35 @@
             self._suspicion.record_lost_request(signature, call.id, view.entry.id)
         # A reused idle connection that breaks says nothing about its worker.
         if unreachable or error.response_started or error.idle_s is None:
-            service = view.entry.service
-            now = self._node.clock()
-            view.record_failure(
-                now, self._workers.directory.cold_s(service), unreachable=unreachable
-            )
-            self._node.sink.emit(
-                WorkerFailed(
-                    view.entry.id,
-                    service,
-                    str(error),
-                    view.failures,
-                    round(view.backoff_until - now, 3),
-                    unreachable,
-                )
-            )
+            self._record_failure(view, str(error), unreachable=unreachable)
         return AttemptOutcome(Ran.UNKNOWN if error.sent else Ran.NO, str(error))
 
+    def _record_failure(
+        self, view: WorkerView, detail: str, *, unreachable: bool
+    ) -> None:
+        service = view.entry.service
+        now = self._node.clock()
+        cold_s = self._workers.directory.cold_s(service)
+        view.record_failure(now, cold_s, unreachable=unreachable)
+        pause_s = round(view.backoff_until - now, 3)
+        self._node.sink.emit(
+            WorkerFailed(
+                view.entry.id, service, detail, view.failures, pause_s, unreachable
+            )
+        )
+
+    def _report_overtaken(
+        self, call: ForwardCall, chosen: ChosenWorker, started_at: float
+    ) -> None:
+        """Report an overdue attempt that another worker's answer made needless."""
+        view = chosen.view
+        waited_s = self._node.clock() - started_at
+        outcome = AttemptOutcome(Ran.UNKNOWN, f"no answer within {waited_s:.1f} s")
+        self._report_failure(call, chosen, outcome, waited_s)
+        # A worker that answered other requests meanwhile is only slow.
+        if view.last_answer_at < started_at:
+            self._record_failure(view, outcome.detail, unreachable=False)
+
     def _report_failure(
         self,
         call: ForwardCall,
@@ -212,33 +225,55 @@
 
 
 @final
-class _SilenceTimeout:
-    """Cancels an exchange whose worker no longer answers any request."""
+class _OverdueWatch:
+    """Reports once that the answer to a request is overdue.
+
+    :param time_left_s: time until the deadline, in seconds.
+    :param on_overdue: called when the answer becomes overdue.
+    """
 
     def __init__(
-        self, node: GatewayNode, view: WorkerView, exchange: Deferred[HttpResponse]
+        self,
+        node: GatewayNode,
+        workers: Workers,
+        view: WorkerView,
+        time_left_s: float,
+        on_overdue: Callable[[], None],
     ) -> None:
         self._node = node
+        self._workers = workers
         self._view = view
-        self._exchange = exchange
-        self.expired = False
+        self._started_at = node.clock()
+        self._time_left_s = time_left_s
+        self._on_overdue = on_overdue
         self._timer: Any = None
-        self._check()
+        self.overdue = False
+
+    def start(self) -> None:
+        """Start to watch; no answer is overdue before ``MIN_WAIT_S``."""
+        self._timer = self._node.reactor.callLater(MIN_WAIT_S, self._check)
+
+    def _check(self) -> None:
+        now = self._node.clock()
+        directory = self._workers.directory
+        wait_s = overdue_after_s(
+            self._view.estimate,
+            self._time_left_s,
+            suspect=directory.is_suspect(self._view.entry.data_centre, now),
+        )
+        if now - self._started_at >= wait_s:
+            self.overdue = True
+            self._on_overdue()
+            return
+        self._timer = self._node.reactor.callLater(
+            OVERDUE_CHECK_INTERVAL_S, self._check
+        )
 
     def stop(self) -> None:
         """Cancel the pending check."""
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
-    def _check(self) -> None:
-        remaining_s = self._view.unresponsive_from() - self._node.clock()
-        if remaining_s <= 0:
-            self.expired = True
-            self._exchange.cancel()
-        else:
-            delay = max(remaining_s, MIN_SILENCE_CHECK_S)
-            self._timer = self._node.reactor.callLater(delay, self._check)
-
 
 def _classify(reply: WorkerReply) -> AttemptOutcome:
     match reply.verdict:
--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -20,6 +20,8 @@
 from sycamorenotch_gateway._events import RequestRefused
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._peers import Peers
+from sycamorenotch_gateway._race import AttemptEnd
+from sycamorenotch_gateway._race import AttemptRace
 from sycamorenotch_gateway._routes import Routes
 from sycamorenotch_gateway._suspicion import CrashSuspicion
 from sycamorenotch_gateway._workers import Workers
@@ -32,7 +34,6 @@
 from sycamorenotch_kernel import WorkerReply
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_kernel import worker_choices
-from sycamorenotch_policies import ChosenWorker
 from sycamorenotch_policies import NoCapacity
 from sycamorenotch_policies import RetryBudget
 from sycamorenotch_policies import RetryLimits
@@ -169,48 +170,69 @@
         progress: _Progress,
         deadline: float,
     ) -> ForwardResult:
+        race = AttemptRace(self._attempts, call, route, deadline)
+        try:
+            return await self._run_attempts(progress, race)
+        finally:
+            race.cancel()
+
+    async def _run_attempts(
+        self, progress: _Progress, race: AttemptRace
+    ) -> ForwardResult:
+        """Run attempts until one settles the request.
+
+        The next attempt starts when the one before failed, or beside it when its
+        answer is overdue.
+        """
         result: ForwardResult | None = None
-        while True:
-            now = self._node.clock()
-            if deadline - now < MIN_REMAINING_S:
-                timed_out = Refusal(
-                    ErrorKind.DEADLINE_PASSED,
-                    Ran.NO,
-                    "the deadline passed before the first attempt",
-                )
-                return Error(timed_out) if result is None else result
-            wanted = WorkerRequest(
-                route, progress.service, call.object_key, frozenset(progress.tried)
-            )
-            views = self._workers.directory.usable(progress.service, now)
-            choice = self._choice.choose(wanted, views, now)
-            if isinstance(choice, NoCapacity):
-                if result is not None:
+        refusal = self._start_attempt(progress, race)
+        while race.running:
+            end = await race.next_event()
+            if end is not None:
+                result = self._record_outcome(end, progress)
+                if not _may_retry(race.route, end.outcome):
                     return result
-                return Error(self._overload_refusal(choice, now, progress.service))
-            if not self._attempt_allowed(progress, now) and result is not None:
-                return result
-            outcome = await self._send_attempt(call, route, choice, progress, deadline)
-            result = _to_result(outcome, progress)
-            if progress.attempts >= route.attempts or not _may_retry(route, outcome):
-                return result
-
-    async def _send_attempt(
-        self,
-        call: ForwardCall,
-        route: ForwardingRoute,
-        chosen: ChosenWorker,
-        progress: _Progress,
-        deadline: float,
-    ) -> AttemptOutcome:
-        worker = chosen.view.entry.id
+            if end is None or not race.running:
+                self._start_attempt(progress, race)
+        if result is None:
+            assert refusal is not None
+            return Error(refusal)
+        return result
+
+    def _start_attempt(self, progress: _Progress, race: AttemptRace) -> Refusal | None:
+        """Start an attempt.
+
+        :return: why none was started, or ``None`` if one was.
+        """
+        now = self._node.clock()
+        if race.deadline - now < MIN_REMAINING_S:
+            detail = "the deadline passed before the first attempt"
+            return Refusal(ErrorKind.DEADLINE_PASSED, Ran.NO, detail)
+        if progress.attempts >= race.route.attempts:
+            return Refusal(ErrorKind.OVERLOADED, Ran.NO, "no attempt is left")
+        wanted = WorkerRequest(
+            race.route,
+            progress.service,
+            race.call.object_key,
+            frozenset(progress.tried),
+        )
+        views = self._workers.directory.usable(progress.service, now)
+        choice = self._choice.choose(wanted, views, now)
+        if isinstance(choice, NoCapacity):
+            return self._overload_refusal(choice, now, progress.service)
+        if not self._attempt_allowed(progress, now):
+            detail = "the retry budget is used up"
+            return Refusal(ErrorKind.OVERLOADED, Ran.NO, detail)
         progress.attempts += 1
-        progress.worker = worker
-        progress.tried.add(worker)
-        outcome = await self._attempts.send(call, route, chosen, deadline)
-        if outcome.ran is not Ran.NO:
-            progress.ran = outcome.ran
-        return outcome
+        progress.tried.add(choice.view.entry.id)
+        race.start(choice)
+        return None
+
+    def _record_outcome(self, end: AttemptEnd, progress: _Progress) -> ForwardResult:
+        progress.worker = end.worker
+        if end.outcome.ran is not Ran.NO:
+            progress.ran = end.outcome.ran
+        return _to_result(end.outcome, progress)
 
     def _attempt_allowed(self, progress: _Progress, now: float) -> bool:
         if progress.attempts == 0:
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -83,6 +83,9 @@
 from sycamorenotch_policies._membership import Transition
 from sycamorenotch_policies._named_instances import choose_instances
 from sycamorenotch_policies._outcomes import Outcome
+from sycamorenotch_policies._overdue import MIN_WAIT_S
+from sycamorenotch_policies._overdue import LatencyEstimate
+from sycamorenotch_policies._overdue import overdue_after_s
 from sycamorenotch_policies._plan_checks import excess_grants
 from sycamorenotch_policies._plan_checks import excess_links
 from sycamorenotch_policies._plan_checks import excess_shifts
@@ -132,6 +135,7 @@
     "GONE_GRACE_PERIOD",
     "LAPSE_MARGIN",
     "LOAN_LIFETIME",
+    "MIN_WAIT_S",
     "STRIKE_LIFETIME",
     "AdaptiveIdleTimeout",
     "AdmissionDecision",
@@ -178,6 +182,7 @@
     "Heartbeat",
     "HeldGrants",
     "InstanceContact",
+    "LatencyEstimate",
     "Lease",
     "LeaseCommand",
     "LeaseFailed",
@@ -246,6 +251,7 @@
     "lease_candidates",
     "make_plan",
     "neighbours",
+    "overdue_after_s",
     "pick_service",
     "reallocate_grants",
     "sign_request",
--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -8,12 +8,15 @@
 from dataclasses import field
 from enum import Enum
 from enum import unique
+from itertools import islice
 from math import inf
 from typing import final
 
 from sycamorenotch_kernel import LoadReport
 from sycamorenotch_kernel import ServiceLimits
 from sycamorenotch_kernel import WorkerEntry
+from sycamorenotch_policies._overdue import MIN_WAIT_S
+from sycamorenotch_policies._overdue import LatencyEstimate
 
 # A load report is stale after the service time of a few requests.
 REPORT_LIFETIME_S = 1.5
@@ -22,10 +25,15 @@
 # Smoothing factor of the moving average of the latency.
 LATENCY_WEIGHT = 0.2
 # A worker counts as unresponsive if it has requests in flight and answers none
-# for this multiple of its average latency, but at least for the minimum. Service
-# times vary by a factor of three, and a request may queue for as long again.
+# for this multiple of its average latency, but at least for the tail of its service.
+# Service times vary by a factor of three, and a request may queue for as long again.
 SILENCE_TIMEOUT_LATENCIES = 5.0
-MIN_SILENCE_TIMEOUT_S = 1.2
+# Applies until the service has answered a request.
+DEFAULT_SILENCE_TIMEOUT_S = 2.0
+# A data centre is suspect while at least this many of its workers could not be
+# reached within the last seconds.
+SUSPECT_WORKERS = 2
+SUSPECT_PERIOD_S = 5.0
 
 
 @final
@@ -58,6 +66,8 @@
     :param cold_cause: why the worker is taken to be cold until then.
     :param missing_until: time at which the worker is removed unless its expired
         entry comes back; none while the entry is present.
+    :param estimate: latency of the answers of all workers of the service.
+    :param failed_at: time of the last failure.
     :param latency_s: moving average of the latency of regular answers.
     :param last_answer_at: time of the last answer to this instance.
     :param sent: send times of the requests of the last second.
@@ -67,6 +77,8 @@
     entry: WorkerEntry
     region: str
     seen_at: float
+    estimate: LatencyEstimate = field(default_factory=LatencyEstimate)
+    failed_at: float = -1e9
     others_in_flight: float = 0.0
     reported_at: float = -1e9
     failures: int = 0
@@ -88,7 +100,9 @@
     def silence_timeout_s(self) -> float:
         """Return how long the worker may give no answer while it has requests."""
         return max(
-            MIN_SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_LATENCIES * (self.latency_s or 0.0)
+            MIN_WAIT_S,
+            self.estimate.tail_s or DEFAULT_SILENCE_TIMEOUT_S,
+            SILENCE_TIMEOUT_LATENCIES * (self.latency_s or 0.0),
         )
 
     def unresponsive_from(self) -> float:
@@ -142,6 +156,7 @@
         """
         self.failures = 0
         self.unreachable = False
+        self.estimate.observe(latency_s)
         known = self.latency_s
         self.latency_s = (
             latency_s if known is None else known + LATENCY_WEIGHT * (latency_s - known)
@@ -161,6 +176,7 @@
         :param unreachable: whether the connection failed.
         """
         self.failures += 1
+        self.failed_at = now
         backoff_s = min(INITIAL_BACKOFF_S * 2.0 ** (self.failures - 1), MAX_BACKOFF_S)
         self.backoff_until = now + backoff_s
         if unreachable:
@@ -183,6 +199,7 @@
         self._region_of = region_of
         self._views: dict[str, WorkerView] = {}
         self._services: dict[str, tuple[WorkerView, ...]] = {}
+        self._estimates: dict[str, LatencyEstimate] = {}
         self._evacuated: frozenset[str] = frozenset()
         self.limits: dict[str, ServiceLimits] = {}
         self.version = 0
@@ -217,6 +234,17 @@
         """
         return self._services.get(service, ())
 
+    def is_suspect(self, data_centre: str, now: float) -> bool:
+        """Return whether several workers of a data centre could not be reached."""
+        unreachable = (
+            view
+            for view in self._views.values()
+            if view.unreachable
+            and view.entry.data_centre == data_centre
+            and now - view.failed_at <= SUSPECT_PERIOD_S
+        )
+        return sum(1 for _ in islice(unreachable, SUSPECT_WORKERS)) >= SUSPECT_WORKERS
+
     def describe(self, service: str, now: float) -> str:
         """Describe how many workers a service has and why some get no requests."""
         views = [v for v in self._views.values() if v.entry.service == service]
@@ -314,7 +342,8 @@
 
     def _new_view(self, entry: WorkerEntry, now: float) -> WorkerView:
         region = self._region_of(entry.data_centre)
-        view = WorkerView(entry, region, now)
+        estimate = self._estimates.setdefault(entry.service, LatencyEstimate())
+        view = WorkerView(entry, region, now, estimate)
         if entry.cold_s > 0:
             view.cold_until = now + entry.cold_s
         return view
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -140,8 +140,8 @@
 
     :param mode: ``run``; ``shed``: answer 503 without running the request; ``fail``:
         run it and answer 500; ``cut``: run it and abort the connections;
-        ``silent``: run it and never answer; ``stranger``: answer 421, as another
-        worker at this address does.
+        ``silent``: run it and never answer; ``slow``: answer after ``delay_s``
+        seconds; ``stranger``: answer 421, as another worker at this address does.
     """
 
     name: str
@@ -151,6 +151,7 @@
     mode: str = "run"
     born: int = 1
     state: str = "ready"
+    delay_s: float = 0.0
     ran: list[str] = field(default_factory=list)
     requests: list[HttpRequest] = field(default_factory=list)
     cancelled: int = 0
@@ -192,6 +193,8 @@
         self.ran.append(attempt)
         if self.mode == "silent":
             return await Deferred(lambda _: self._cancel())
+        if self.mode == "slow":
+            await deferLater(reactor, self.delay_s, lambda: None)
         if self.mode == "cut":
             for connection in tuple(self.server.connections):
                 connection.transport.abortConnection()
--- a/testing/policies/test_worker_directory.py
+++ b/testing/policies/test_worker_directory.py
@@ -15,8 +15,8 @@
     return directory
 
 
-def entry(name: str, cold_s: float = 0.0) -> WorkerEntry:
-    return WorkerEntry(name, "s", "10.0.0.1:80", "a", 4, False, cold_s)
+def entry(name: str, cold_s: float = 0.0, data_centre: str = "a") -> WorkerEntry:
+    return WorkerEntry(name, "s", "10.0.0.1:80", data_centre, 4, False, cold_s)
 
 
 def test_description_tells_a_cold_start_from_one_that_is_assumed() -> None:
@@ -48,3 +48,23 @@
     assert directory.describe("s", 2.0) == (
         "1 workers known, 1 may be cold after an evacuation"
     )
+
+
+def test_data_centre_is_suspect_while_two_of_its_workers_cannot_be_reached() -> None:
+    directory = build_directory(
+        entry("a1"), entry("a2"), entry("b1", data_centre="b"), entry("a3")
+    )
+    directory.get("a1").record_failure(1.0, 3.0, unreachable=True)
+    directory.get("b1").record_failure(1.0, 3.0, unreachable=True)
+    assert not directory.is_suspect("a", 1.5)
+    directory.get("a2").record_failure(1.2, 3.0, unreachable=True)
+    assert directory.is_suspect("a", 1.5)
+    assert not directory.is_suspect("b", 1.5)
+    assert not directory.is_suspect("a", 7.0)
+
+
+def test_data_centre_is_not_suspect_when_its_workers_only_fail_requests() -> None:
+    directory = build_directory(entry("a1"), entry("a2"))
+    for name in ("a1", "a2"):
+        directory.get(name).record_failure(1.0, 3.0, unreachable=False)
+    assert not directory.is_suspect("a", 1.5)
