Bound what an answer without end costs

Cause: an endless body was kept up to 32 MiB for each answer (eight at once took 307 MB), chunks of one byte took a whole core until the deadline, and informational responses and responses to other requests were read without limit. Change: all answers of workers, peers and the store share one limit on memory, and the largest gives way; bodies are joined as they arrive; small pieces, informational and discarded responses are limited; events of one connection are handled in turns that leave the loop to others. Settings: [answers] max_bytes, buffered_bytes.

--- a/packages/gateway/src/sycamorenotch_gateway/_node.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_node.py
@@ -20,6 +20,7 @@
 from sycamorenotch_kernel import ObjectFeed
 from sycamorenotch_transport import PeriodicFunction
 from sycamorenotch_transport import PeriodicTask
+from sycamorenotch_transport import ResponseBuffers
 
 T = TypeVar("T")
 
@@ -51,6 +52,7 @@
     :param clock: returns the monotonic time in seconds.
     :param started: start on the wall clock, in Unix milliseconds.
     :param processor_clock: returns the processor time of the process in seconds.
+    :param response_buffers: memory for answers of workers, peers and the store.
     :param stopping_since: start of the shutdown on ``clock``, or ``None``.
     """
 
@@ -63,6 +65,7 @@
     feed: ObjectFeed
     dialect: Dialect
     processor_clock: Callable[[], float]
+    response_buffers: ResponseBuffers = field(default_factory=ResponseBuffers)
     stopping_since: float | None = None
     _provided: dict[type, object] = field(default_factory=dict)
 
--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -126,7 +126,8 @@
         return found.ok
 
     async def _fetch(self, peer: PeerEntry, topic: Topic) -> Result[Batch, str]:
-        pool = Http1Pool(self._node.reactor, peer.gossip, self._node.clock)
+        node = self._node
+        pool = Http1Pool(node.reactor, peer.gossip, node.clock, node.response_buffers)
         request = HttpRequest(
             "GET", TOPICS_PATH + topic.value, (("Host", peer.gossip),)
         )
--- a/packages/gateway/src/sycamorenotch_gateway/_settings.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_settings.py
@@ -21,13 +21,17 @@
 from sycamorenotch_kernel import Placement
 from sycamorenotch_kernel import Registry
 from sycamorenotch_kernel import Resources
+from sycamorenotch_transport import ResponseLimits
 
 GATEWAY_KINDS: Registry[SectionKind] = Registry("gateway settings section")
 
+DEFAULT_LIMITS = ResponseLimits()
+
 Label = Annotated[str, Field(min_length=1, max_length=253)]
 # INI files hold numbers as text, so these are not strict.
 Number = Annotated[float, Field(ge=0)]
 Positive = Annotated[float, Field(gt=0)]
+ByteCount = Annotated[int, Field(gt=0)]
 
 
 @section(GATEWAY_KINDS, "instance", named=False)
@@ -98,6 +102,18 @@
     extra_retries: Number = 50
 
 
+@section(GATEWAY_KINDS, "answers", named=False, required=False)
+class AnswersSection(SectionModel):
+    """``[answers]``: memory for answers of workers, peers and the store.
+
+    :param max_bytes: maximum size of one answer's body.
+    :param buffered_bytes: maximum size of all bodies in memory together.
+    """
+
+    max_bytes: ByteCount = DEFAULT_LIMITS.body_bytes
+    buffered_bytes: ByteCount = DEFAULT_LIMITS.buffered_bytes
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
@@ -115,6 +131,7 @@
     store: str
     resources: Resources
     bounds: BoundsSection = field(default_factory=BoundsSection)
+    response_limits: ResponseLimits = field(default_factory=ResponseLimits)
 
 
 def parse_gateway_settings(text: str) -> GatewaySettings:
@@ -130,6 +147,7 @@
     regions = {name: model.region for name, model in sections["data_centre"].items()}
     platform = sections["platform"][""]
     machine = sections["machine"].get("", MachineSection())
+    answers = sections["answers"].get("", AnswersSection())
     return GatewaySettings(
         instance=instance.id,
         placement=Placement(instance.region, instance.data_centre, regions),
@@ -141,4 +159,5 @@
             machine.processor_share * machine.processor_speed, machine.link_mbps
         ),
         bounds=sections["bounds"].get("", BoundsSection()),
+        response_limits=ResponseLimits(answers.max_bytes, answers.buffered_bytes),
     )
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -84,7 +84,10 @@
         name = view.entry.id
         if name not in self._pools:
             self._pools[name] = Http1Pool(
-                self._node.reactor, view.entry.address, self._node.clock
+                self._node.reactor,
+                view.entry.address,
+                self._node.clock,
+                self._node.response_buffers,
             )
         return self._pools[name]
 
--- a/packages/gateway/src/sycamorenotch_gateway/main.py
+++ b/packages/gateway/src/sycamorenotch_gateway/main.py
@@ -26,6 +26,7 @@
 from sycamorenotch_kernel import dialects
 from sycamorenotch_kernel import load_plugins
 from sycamorenotch_kernel import object_feeds
+from sycamorenotch_transport import ResponseBuffers
 
 reactor: Any = _reactor
 
@@ -68,6 +69,8 @@
     load_plugins()
     log = LogWriter(reactor, sys.stdout.fileno(), time.monotonic, settings.instance)
     reactor.addSystemEventTrigger("after", "shutdown", log.flush)
+    buffers = ResponseBuffers(settings.response_limits)
+    build_feed = object_feeds.get(settings.feed)
     node = GatewayNode(
         settings=settings,
         reactor=reactor,
@@ -75,9 +78,10 @@
         started=int(time.time() * MS_PER_S),
         random=SystemRandom(),
         sink=log,
-        feed=object_feeds.get(settings.feed)(settings.store, reactor, time.monotonic),
+        feed=build_feed(settings.store, reactor, time.monotonic, buffers),
         dialect=dialects.get(settings.dialect)(),
         processor_clock=_processor_time_s,
+        response_buffers=buffers,
     )
     return Gateway(node)
 
--- a/packages/transport/src/sycamorenotch_transport/__init__.py
+++ b/packages/transport/src/sycamorenotch_transport/__init__.py
@@ -26,6 +26,8 @@
     from sycamorenotch_transport._listeners import HttpListener
     from sycamorenotch_transport._resolver import LiteralResolver
     from sycamorenotch_transport._resolver import install_literal_resolver
+    from sycamorenotch_transport._response_buffers import ResponseBuffers
+    from sycamorenotch_transport._response_buffers import ResponseLimits
 
 # Modules are imported on first use, so that a gateway does not load the Twisted Web
 # listeners of the daemon, nor a daemon the HTTP/1.1 server of the gateway.
@@ -46,6 +48,8 @@
     "RequestLimits": "_bounded_http",
     "RejectionResponse": "_bounded_http",
     "RejectionReason": "_bounded_http",
+    "ResponseBuffers": "_response_buffers",
+    "ResponseLimits": "_response_buffers",
     "get_header": "_http1_messages",
     "install_literal_resolver": "_resolver",
     "strip_hop_by_hop_headers": "_http1_messages",
@@ -68,6 +72,8 @@
     "RejectionReason",
     "RejectionResponse",
     "RequestLimits",
+    "ResponseBuffers",
+    "ResponseLimits",
     "get_header",
     "install_literal_resolver",
     "strip_hop_by_hop_headers",
--- a/packages/transport/src/sycamorenotch_transport/_http1_client.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Callable
+from itertools import count
 from typing import Any
 from typing import final
 
@@ -18,11 +19,12 @@
 from sycamorenotch_transport._http1_messages import decode_headers
 from sycamorenotch_transport._http1_messages import encode_headers
 from sycamorenotch_transport._http1_messages import get_header
+from sycamorenotch_transport._response_buffers import ResponseBuffers
 from sycamorenotch_transport._sockets import configure_socket
 
 MAX_HEAD_BYTES = 65_536
-# Size of a response body, which is buffered completely.
-MAX_RESPONSE_BYTES = 33_554_432
+# Parser events that are handled before other work of the loop gets its turn.
+MAX_EVENTS_PER_TURN = 128
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
 # The server may close the connection at the moment its idle timeout ends, while a
 # request is in flight to it.
@@ -72,10 +74,19 @@
 
     :param on_done: called when an exchange is complete and when the connection is
         lost.
+    :param buffers: memory for response bodies, shared with other connections.
+    :param call_soon: schedules a function for the next iteration of the loop.
     """
 
-    def __init__(self, on_done: Callable[[ClientConnection], None]) -> None:
+    def __init__(
+        self,
+        on_done: Callable[[ClientConnection], None],
+        buffers: ResponseBuffers,
+        call_soon: Callable[[Callable[[], None]], object],
+    ) -> None:
         self._on_done = on_done
+        self._buffers = buffers
+        self._call_soon = call_soon
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -83,8 +94,11 @@
         self._matches: ResponseMatcher = match_any
         self._sent_head: h11.Request | None = None
         self._head: h11.Response | None = None
-        self._body: list[bytes] = []
-        self._size = 0
+        self._body = bytearray()
+        self._pieces = 0
+        self._informational = 0
+        self._discarded = 0
+        self._paused = False
         self.served = 0
         self.max_idle_s = DEFAULT_MAX_IDLE_S
         self.idle_since = 0.0
@@ -109,6 +123,7 @@
         """
         self._matches = matches
         self._response_started = False
+        self._informational = self._discarded = 0
         pending: Deferred[HttpResponse] = Deferred(lambda _: self._cancel())
         self._pending = pending
         try:
@@ -132,67 +147,117 @@
             return
         self._response_started = True
         self._http.receive_data(data)
-        self._parse()
+        if not self._paused:
+            self._parse_turn()
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
         """Complete a response that ends with the connection, or fail the exchange."""
         self.reusable = False
+        self._paused = False
         if self._pending is not None and reason.check(ConnectionDone) is not None:
             self._http.receive_data(b"")
             self._parse()
         self._fail(reason.getErrorMessage(), sent=True)
+        self._release_body()
         self._on_done(self)
 
     def abort(self) -> None:
         """Close without sending buffered data; the connection is not reused."""
         self.reusable = False
+        self._release_body()
         self.transport.abortConnection()
 
+    def reject_response(self, detail: str) -> None:
+        """Fail the exchange and close the connection."""
+        self._fail(detail, sent=True)
+        self.abort()
+
     def _cancel(self) -> None:
         self._pending = None
         self.abort()
 
-    def _parse(self) -> None:
+    def _parse_turn(self) -> None:
+        """Handle some events, and read on in a later turn if there are more."""
+        if self._parse(MAX_EVENTS_PER_TURN):
+            return
+        self._paused = True
+        self.transport.pauseProducing()
+        self._call_soon(self._continue_parsing)
+
+    def _continue_parsing(self) -> None:
+        # The connection may have been lost in the meantime.
+        if not self._paused:
+            return
+        self._paused = False
+        self.transport.resumeProducing()
+        if self._pending is not None:
+            self._parse_turn()
+
+    def _parse(self, max_events: int | None = None) -> bool:
+        """Handle events of the parser.
+
+        :param max_events: maximum number of events, or ``None`` for all.
+        :return: whether the received data is used up.
+        """
+        handled = count() if max_events is None else range(max_events)
         try:
-            while self._pending is not None:
+            for _ in handled:
+                if self._pending is None:
+                    return True
                 event = self._http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
-                    return
+                    return True
                 if isinstance(event, h11.ConnectionClosed):
-                    return
+                    return True
                 self._handle_event(event)
         except h11.RemoteProtocolError as exc:
-            self._fail(f"malformed response: {exc}", sent=True)
-            self.abort()
+            self.reject_response(f"malformed response: {exc}")
+            return True
+        return False
 
     def _handle_event(self, event: Any) -> None:
-        if isinstance(event, h11.Response):
+        limits = self._buffers.limits
+        if isinstance(event, h11.InformationalResponse):
+            self._informational += 1
+            if self._informational > limits.informational:
+                self.reject_response("too many informational responses")
+        elif isinstance(event, h11.Response):
             self._head = event
-            self._body = []
-            self._size = 0
+            self._release_body()
         elif isinstance(event, h11.Data):
-            self._body.append(bytes(event.data))
-            self._size += len(event.data)
-            if self._size > MAX_RESPONSE_BYTES:
-                self._fail("the response is too large", sent=True)
-                self.abort()
+            self._receive_body(event.data)
         elif isinstance(event, h11.EndOfMessage):
             self._finish()
 
+    def _receive_body(self, data: bytes | bytearray) -> None:
+        limits = self._buffers.limits
+        self._pieces += 1
+        size = self._buffers.add(self, len(data))
+        if self._pending is None:
+            return
+        self._body += data
+        if self._pieces > limits.free_pieces + size / limits.piece_bytes:
+            self.reject_response("the response body comes in too many small pieces")
+
+    def _release_body(self) -> None:
+        self._buffers.release(self)
+        self._body = bytearray()
+        self._pieces = 0
+
     def _finish(self) -> None:
         head = self._head
         assert head is not None
         response = HttpResponse(
             head.status_code,
             decode_headers(head.headers.raw_items()),
-            b"".join(self._body),
+            bytes(self._body),
             bytes(head.reason).decode("latin-1"),
         )
         if not self._matches(response):
             self._discard_response()
             return
         pending, self._pending = self._pending, None
-        self._body = []
+        self._release_body()
         self.served += 1
         self._prepare_reuse(response)
         self._on_done(self)
@@ -219,6 +284,11 @@
     def _discard_response(self) -> None:
         """Discard a response to another request and wait for the matching one."""
         self.reusable = False
+        self._release_body()
+        self._discarded += 1
+        if self._discarded > self._buffers.limits.discarded:
+            self.reject_response("too many responses to other requests")
+            return
         trailing, closed = self._http.trailing_data
         parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         assert self._sent_head is not None
--- a/packages/transport/src/sycamorenotch_transport/_http1_pool.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_pool.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 from typing import final
 
@@ -18,6 +19,7 @@
 from sycamorenotch_transport._http1_client import match_any
 from sycamorenotch_transport._http1_messages import HttpRequest
 from sycamorenotch_transport._http1_messages import HttpResponse
+from sycamorenotch_transport._response_buffers import ResponseBuffers
 
 # Default of ``Http1Pool.max_idle_connections``.
 MAX_IDLE_CONNECTIONS = 16
@@ -32,7 +34,7 @@
         self._pool = pool
 
     def buildProtocol(self, addr: Any) -> Protocol:
-        connection = ClientConnection(self._pool.release)
+        connection = self._pool.build_connection()
         original = connection.connectionMade
 
         def connection_made() -> None:
@@ -57,10 +59,18 @@
 
     :param address: ``IP:port`` of the server.
     :param clock: monotonic clock, in seconds.
+    :param buffers: memory for response bodies; by default the pool has its own.
     """
 
-    def __init__(self, reactor: Any, address: str, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        reactor: Any,
+        address: str,
+        clock: Callable[[], float],
+        buffers: ResponseBuffers | None = None,
+    ) -> None:
         self._reactor = reactor
+        self._buffers = ResponseBuffers() if buffers is None else buffers
         self._clock = clock
         host, _, port = address.rpartition(":")
         self._host, self._port = host, int(port)
@@ -116,6 +126,12 @@
         if connection.reusable:
             connection.abort()
 
+    def build_connection(self) -> ClientConnection:
+        """Build the protocol of a new connection."""
+        return ClientConnection(
+            self.release, self._buffers, partial(self._reactor.callLater, 0)
+        )
+
     def _acquire_idle(self, max_idle_s: float) -> ClientConnection | None:
         now = self._clock()
         while self._idle:
