End a gateway that cannot listen

Change: the error is logged as event 6009 and the process ends with status 3, so that it is started again; a settings variable that is not set is named.

--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -90,6 +90,15 @@
     seconds: float
 
 
+@event(6009, "gateway.cannot-listen", Severity.ERROR)
+@final
+@dataclass(frozen=True, slots=True)
+class GatewayCannotListen(Event):
+    """A listener could not be opened; the process ends."""
+
+    detail: str
+
+
 @event(6101, "configuration.applied")
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/main.py
+++ b/packages/gateway/src/sycamorenotch_gateway/main.py
@@ -15,8 +15,10 @@
 from absl import flags
 from twisted.internet import reactor as _reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
 
 from sycamorenotch_documents import InvalidFileError
+from sycamorenotch_gateway._events import GatewayCannotListen
 from sycamorenotch_gateway._gateway import Gateway
 from sycamorenotch_gateway._log import LogWriter
 from sycamorenotch_gateway._node import GatewayNode
@@ -31,6 +33,7 @@
 reactor: Any = _reactor
 
 EXIT_INVALID_SETTINGS = 2
+EXIT_CANNOT_LISTEN = 3
 MS_PER_S = 1000
 
 SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
@@ -50,19 +53,20 @@
     try:
         path = _settings_path()
         settings = parse_gateway_settings(path.read_text())
-    except (InvalidFileError, OSError, KeyError) as exc:
+    except (InvalidFileError, OSError, LookupError) as exc:
         print(exc, file=sys.stderr)
         return EXIT_INVALID_SETTINGS
-    _serve(_build(settings), path)
-    return 0
+    return _serve(_build(settings), path)
 
 
 def _settings_path() -> Path:
     if SETTINGS.value is not None:
         return Path(SETTINGS.value)
-    if SETTINGS_VARIABLE.value is not None:
-        return Path(os.environ[SETTINGS_VARIABLE.value])
-    raise KeyError("one of --settings and --settings_variable is needed")
+    if SETTINGS_VARIABLE.value is None:
+        raise LookupError("one of --settings and --settings_variable is needed")
+    if SETTINGS_VARIABLE.value not in os.environ:
+        raise LookupError(f"the variable {SETTINGS_VARIABLE.value} is not set")
+    return Path(os.environ[SETTINGS_VARIABLE.value])
 
 
 def _build(settings: GatewaySettings) -> Gateway:
@@ -92,21 +96,36 @@
     return used.ru_utime + used.ru_stime
 
 
-def _serve(gateway: Gateway, path: Path) -> None:
+def _serve(gateway: Gateway, path: Path) -> int:
+    """Run the gateway until a signal, or until a listener cannot be opened.
+
+    :return: exit status of the process.
+    """
     watch = SettingsWatch(gateway.node, path)
+    status = 0
 
-    def stop() -> Deferred[None]:
-        return Deferred.fromCoroutine(gateway.stop())
+    async def stop() -> None:
+        if status == 0:
+            await gateway.stop()
 
     def start() -> None:
+        nonlocal status
         # The reactor installs its signal handlers before it calls this.
         signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(watch.reload))
         watch.start()
-        gateway.start()
+        try:
+            gateway.start()
+        except CannotListenError as exc:
+            gateway.node.sink.emit(GatewayCannotListen(str(exc)))
+            status = EXIT_CANNOT_LISTEN
+            reactor.stop()
 
     reactor.callWhenRunning(start)
-    reactor.addSystemEventTrigger("before", "shutdown", stop)
+    reactor.addSystemEventTrigger(
+        "before", "shutdown", lambda: Deferred.fromCoroutine(stop())
+    )
     reactor.run()
+    return status
 
 
 if __name__ == "__main__":
