Follow the store through a few watchers of each region

Change: two instances of a region (one for each 48 followers in large ones), chosen by rendezvous hashing, watch the store; the others wait at one of them for versioned changes. A watcher answers only while small stale reads show that it reaches the store. A follower whose poll is refused or late asks the store for what it may have missed, and follows the other watcher. Regions under six instances watch as before.

--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -260,6 +260,29 @@
     detail: str
 
 
+@event(6307, "store.source-failed", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class TopicSourceFailed(Event):
+    """The instance that a topic was followed from is not current or not there.
+
+    The topic is followed from another one or from the store.
+    """
+
+    topic: str
+    source: str
+    detail: str
+
+
+@event(6308, "store.pulse-lost", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class StorePulseLost(Event):
+    """The store did not answer in time; instances that follow this one are refused."""
+
+    detail: str
+
+
 @event(6401, "peer.joined")
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -1,4 +1,4 @@
-"""Follows one topic of the platform's store with reads and watches."""
+"""Follows one topic of the platform's store, directly or through a peer."""
 
 from __future__ import annotations
 
@@ -13,11 +13,13 @@
 from sycamorenotch_gateway._events import TopicRelayed
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._relay import Relay
+from sycamorenotch_gateway._sources import Sources
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import FeedError
 from sycamorenotch_kernel import FeedFault
-from sycamorenotch_kernel import Item
+from sycamorenotch_kernel import PeerEntry
 from sycamorenotch_kernel import Topic
+from sycamorenotch_policies import TopicLog
 
 # Exponential backoff with jitter after failed calls. The maximum is such that a
 # change is applied within a second of the store's recovery.
@@ -31,13 +33,22 @@
     Topic.CONFIGURATION: timedelta(milliseconds=200),
 }
 
+# A watch that takes the place of a followed instance ends with the suspicion of it.
+FALLBACK_WATCH_S = 5.0
+STARTUP_POLL_INTERVAL = timedelta(seconds=0.05)
+# Delay before an instance that has nothing yet asks again.
+STARTUP_RETRY_DELAY = timedelta(seconds=0.1)
+
 # Receives a batch, and whether it is a snapshot of the whole topic.
 BatchHandler = Callable[[Batch, bool], None]
 
 
 @final
 class Follower:
-    """Reads a topic once, then watches its changes.
+    """Follows a topic in the store, or at an instance that watches it there.
+
+    When the followed instance fails, the store is asked at once for the changes that
+    it may not have passed on.
 
     :param handle_batch: called with each batch.
     """
@@ -50,11 +61,13 @@
         self._handle_batch = handle_batch
         self._loop = node.background(self._turn)
         self._revision: int | None = None
-        # Newest revision applied, from the store or from a peer.
-        self._known_revision = 0
-        self._items: dict[str, Item] = {}
+        # Whether the store, not a peer, keeps the items current.
+        self._watching = False
+        self._checks_store = False
+        self._log = TopicLog()
         self._relay = node.require(Relay)
-        self._relay.publish(topic, self._snapshot)
+        self._relay.publish(topic, self)
+        self._sources = node.require(Sources)
         self._failures = 0
         self._lost_since: float | None = None
         self.regained_at: float | None = None
@@ -73,12 +86,49 @@
         """Stop following the topic; the last items are kept."""
         self._loop.stop()
 
+    def snapshot(self) -> Batch | None:
+        """Return all items, or ``None`` while the store does not keep them current."""
+        return None if not self.complete or self.lost else self._log.snapshot()
+
+    def changes(self, after: int) -> tuple[Batch, bool] | None:
+        """Return the changes after a revision, and whether they are a snapshot.
+
+        :return: ``None`` while this instance does not watch the topic in the store.
+        """
+        current = self.complete and self._watching and not self.lost
+        return self._log.since(after) if current else None
+
     async def _turn(self) -> timedelta:
+        if self._sources.waits_for_members:
+            return STARTUP_POLL_INTERVAL
+        source = None if self._checks_store else self._sources.choose()
+        if source is not None:
+            return await self._follow_peer(source)
+        return await self._follow_store()
+
+    async def _follow_peer(self, source: PeerEntry) -> timedelta:
+        self._watching = False
+        found = await self._relay.poll(source, self._topic, self._log.revision)
+        if found.is_error():
+            self._sources.record_failure(self._topic, source, found.error)
+            self._checks_store = self.complete
+            return NO_DELAY if self.complete else STARTUP_RETRY_DELAY
+        self._record_success()
+        batch, is_snapshot = found.ok
+        if batch.revision > self._log.revision or not self.complete:
+            self._apply(batch, is_snapshot)
+        self._revision = self._log.revision
+        return NO_DELAY
+
+    async def _follow_store(self) -> timedelta:
+        checks_store, self._checks_store = self._checks_store, False
         if self._revision is None:
             result = await self._node.feed.read(self._topic, fresh=True)
             is_snapshot = True
         else:
-            result = await self._node.feed.watch(self._topic, self._revision)
+            wait_s = self._watch_wait_s(checks_store)
+            self._watching = not checks_store
+            result = await self._node.feed.watch(self._topic, self._revision, wait_s)
             is_snapshot = False
         if result.is_error():
             backoff = self._record_failure(result.error)
@@ -91,29 +141,23 @@
         unchanged = is_snapshot or not result.ok.items
         return NO_DELAY if unchanged else WATCH_DELAYS.get(self._topic, NO_DELAY)
 
+    def _watch_wait_s(self, checks_store: bool) -> float | None:
+        if checks_store:
+            return 0.0
+        return None if self._sources.watches else FALLBACK_WATCH_S
+
     async def _read_from_peer(self) -> None:
-        batch = await self._relay.read(self._topic, self._known_revision)
+        batch = await self._relay.read(self._topic, self._log.revision)
         if batch is not None:
             self._node.sink.emit(TopicRelayed(self._topic.value, batch.revision))
             self._apply(batch, is_snapshot=True)
 
     def _apply(self, batch: Batch, is_snapshot: bool) -> None:
-        if is_snapshot:
-            self._items.clear()
-        for item in batch.items:
-            if item.removed or item.problem or item.value is None:
-                self._items.pop(item.name, None)
-            else:
-                self._items[item.name] = item
-        self._known_revision = batch.revision
+        self._log.apply(batch, is_snapshot=is_snapshot)
         if is_snapshot or batch.items:
             self._handle_batch(batch, is_snapshot)
         self.complete = True
-
-    def _snapshot(self) -> Batch | None:
-        if not self.complete or self.lost:
-            return None
-        return Batch(tuple(self._items.values()), self._known_revision)
+        self._relay.answer_polls(self._topic)
 
     def _record_success(self) -> None:
         self._failures = 0
@@ -128,6 +172,8 @@
             revision, self._revision = self._revision, None
             self._node.sink.emit(StoreHistoryGone(self._topic.value, revision or 0))
             return NO_DELAY
+        self._watching = False
+        self._relay.answer_polls(self._topic)
         # If the store has lost its history, a watch from the old revision may never
         # return, so the topic is read again.
         self._revision = None
--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -64,6 +64,10 @@
         self._relay.peers = lambda: tuple(
             heartbeat.entry for heartbeat in self.failure_detector.serving(node.clock())
         )
+        self._relay.live = lambda: self.failure_detector.live(node.clock())
+        self._relay.is_alone = lambda: (
+            self._entries_read and not self.failure_detector.recipients()
+        )
         self.usage = UsageMeter(node.clock(), node.processor_clock())
         node.provide(Peers, self)
 
@@ -176,10 +180,12 @@
             self._announced = True
         # Of two instances that start together, at least one must see the other's entry.
         # A stale read could hide both.
-        fresh, self._entries_read = not self._entries_read, True
-        found = await self._node.feed.read(Topic.INSTANCES, fresh=fresh)
+        found = await self._node.feed.read(
+            Topic.INSTANCES, fresh=not self._entries_read
+        )
         if found.is_error():
             return self._back_off(found.error.detail)
+        self._entries_read = True
         self._failures = 0
         self.failure_detector.set_entries(
             item.value for item in found.ok.items if item.value is not None
--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -1,29 +1,27 @@
-"""Lets instances that the store refuses read its topics from their peers."""
+"""Topics of the store between instances: whole for some, changes for followers."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 from typing import ClassVar
+from typing import Protocol
 from typing import final
+from urllib.parse import parse_qs
+from urllib.parse import urlencode
 
 from expression import Error
-from expression import Ok
 from expression import Result
-from pydantic import TypeAdapter
-from pydantic import ValidationError
-from pydantic.dataclasses import dataclass
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 
 from sycamorenotch_gateway._events import RequestRejected
 from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._topic_payloads import RELAYED_TOPICS
+from sycamorenotch_gateway._topic_payloads import decode_topic
+from sycamorenotch_gateway._topic_payloads import encode_topic
 from sycamorenotch_kernel import Batch
-from sycamorenotch_kernel import ForwardingConfiguration
-from sycamorenotch_kernel import Item
 from sycamorenotch_kernel import PeerEntry
 from sycamorenotch_kernel import Topic
-from sycamorenotch_kernel import WorkerEntry
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_transport import ExchangeError
 from sycamorenotch_transport import Http1Pool
@@ -36,42 +34,26 @@
 # A peer in another region answers within a few round trips.
 CONNECT_TIMEOUT_S = 0.5
 REQUEST_TIMEOUT_S = 1.0
+# A poll is answered after this time also without a change, so that a peer that is
+# gone or frozen is noticed soon after.
+POLL_WAIT_S = 1.0
+POLL_TIMEOUT_S = 1.4
+OK_STATUS = 200
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class _ConfigurationsPayload:
-    revision: int
-    items: dict[str, ForwardingConfiguration]
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class _WorkersPayload:
-    revision: int
-    items: dict[str, WorkerEntry]
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class _EvacuationsPayload:
-    revision: int
-    items: dict[str, str]
+class TopicProvider(Protocol):
+    """What an instance has of one topic."""
 
+    def snapshot(self) -> Batch | None:
+        """Return all items, or ``None`` while the store does not keep them current."""
+        ...
 
-_ADAPTERS: dict[Topic, TypeAdapter[Any]] = {
-    Topic.CONFIGURATION: TypeAdapter(_ConfigurationsPayload),
-    Topic.WORKERS: TypeAdapter(_WorkersPayload),
-    Topic.EVACUATIONS: TypeAdapter(_EvacuationsPayload),
-}
-_PAYLOADS: dict[Topic, Callable[..., Any]] = {
-    Topic.CONFIGURATION: _ConfigurationsPayload,
-    Topic.WORKERS: _WorkersPayload,
-    Topic.EVACUATIONS: _EvacuationsPayload,
-}
+    def changes(self, after: int) -> tuple[Batch, bool] | None:
+        """Return the changes after a revision, and whether they are a snapshot.
 
-# Returns a snapshot of a topic, or ``None`` while the store does not keep it current.
-SnapshotSource = Callable[[], Batch | None]
+        :return: ``None`` while this instance does not watch the topic in the store.
+        """
+        ...
 
 
 @gateway_components.register("relay")
@@ -83,14 +65,23 @@
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
-        self._snapshots: dict[Topic, SnapshotSource] = {}
+        self._providers: dict[Topic, TopicProvider] = {}
+        self._pools: dict[str, Http1Pool] = {}
+        self._polls: dict[Topic, list[Deferred[None]]] = {}
         self._server = Http1Server(
             node.reactor,
             self._serve,
             lambda status, detail: HttpResponse(status),
             lambda detail: node.sink.emit(RequestRejected("relay", detail)),
         )
+        # Set by the components that know: peers that take requests, peers that live,
+        # whether there are none, whether this instance is current with the store, and
+        # whether it has just started.
         self.peers: Callable[[], tuple[PeerEntry, ...]] = tuple
+        self.live: Callable[[], tuple[PeerEntry, ...]] = tuple
+        self.is_alone: Callable[[], bool] = lambda: False
+        self.is_current: Callable[[], bool] = lambda: False
+        self.is_starting: Callable[[], bool] = lambda: False
         node.provide(Relay, self)
 
     def start(self) -> None:
@@ -98,7 +89,9 @@
         self._server.listen(self._node.settings.gossip, ACCEPT_BACKLOG)
 
     async def stop(self) -> None:
-        """Close the listener and its connections."""
+        """Close the listener and all connections."""
+        for pool in self._pools.values():
+            pool.close()
         await self._server.stop(0)
 
     @property
@@ -106,9 +99,37 @@
         """``IP:port`` on which peers are served."""
         return self._server.address
 
-    def publish(self, topic: Topic, snapshot: SnapshotSource) -> None:
-        """Register the snapshots of a topic that peers may read."""
-        self._snapshots[topic] = snapshot
+    def publish(self, topic: Topic, provider: TopicProvider) -> None:
+        """Register what peers may read of a topic."""
+        self._providers[topic] = provider
+
+    def answer_polls(self, topic: Topic) -> None:
+        """Answer the polls that wait for a change of a topic."""
+        polls, self._polls[topic] = self._polls.get(topic, []), []
+        for poll in polls:
+            if not poll.called:
+                poll.callback(None)
+
+    def answer_all_polls(self) -> None:
+        """Answer the waiting polls, as this instance became current or lost that."""
+        for topic in tuple(self._polls):
+            self.answer_polls(topic)
+
+    async def poll(
+        self, peer: PeerEntry, topic: Topic, after: int
+    ) -> Result[tuple[Batch, bool], str]:
+        """Wait at a peer for changes of a topic.
+
+        :param after: newest revision that this instance has.
+        :return: the changes, possibly none, and whether they are a snapshot.
+        """
+        query = urlencode({"after": after, "wait_ms": int(POLL_WAIT_S * 1000)})
+        pool = self._pools.get(peer.gossip)
+        if pool is None:
+            self._drop_pools()
+            pool = self._pools[peer.gossip] = self._create_pool(peer)
+        target = f"{TOPICS_PATH}{topic.value}?{query}"
+        return await self._fetch(pool, peer, topic, target, POLL_TIMEOUT_S)
 
     async def read(self, topic: Topic, after: int) -> Batch | None:
         """Read a topic from a random peer.
@@ -117,60 +138,97 @@
         :return: a snapshot with a newer revision, or ``None``.
         """
         peers = self.peers()
-        if not peers or topic not in _ADAPTERS:
+        if not peers or topic not in RELAYED_TOPICS:
             return None
         peer = self._node.random.choice(peers)
-        found = await self._fetch(peer, topic)
-        if found.is_error() or found.ok.revision <= after:
+        pool = self._create_pool(peer)
+        target = TOPICS_PATH + topic.value
+        try:
+            found = await self._fetch(pool, peer, topic, target, REQUEST_TIMEOUT_S)
+        finally:
+            pool.close()
+        if found.is_error() or found.ok[0].revision <= after:
             return None
-        return found.ok
+        return found.ok[0]
 
-    async def _fetch(self, peer: PeerEntry, topic: Topic) -> Result[Batch, str]:
+    def _create_pool(self, peer: PeerEntry) -> Http1Pool:
         node = self._node
-        pool = Http1Pool(node.reactor, peer.gossip, node.clock, node.response_buffers)
-        request = HttpRequest(
-            "GET", TOPICS_PATH + topic.value, (("Host", peer.gossip),)
-        )
+        return Http1Pool(node.reactor, peer.gossip, node.clock, node.response_buffers)
+
+    def _drop_pools(self) -> None:
+        """Close the connections to peers that no longer live."""
+        live = {entry.gossip for entry in self.live()}
+        for address in self._pools.keys() - live:
+            self._pools.pop(address).close()
+
+    async def _fetch(
+        self,
+        pool: Http1Pool,
+        peer: PeerEntry,
+        topic: Topic,
+        target: str,
+        timeout_s: float,
+    ) -> Result[tuple[Batch, bool], str]:
+        request = HttpRequest("GET", target, (("Host", peer.gossip),))
         exchange: Deferred[HttpResponse] = Deferred.fromCoroutine(
             pool.exchange(request, CONNECT_TIMEOUT_S)
         )
-        exchange.addTimeout(REQUEST_TIMEOUT_S, self._node.reactor)
+        exchange.addTimeout(timeout_s, self._node.reactor)
         try:
             response = await exchange
         except (ExchangeError, DeferredTimeoutError) as exc:
             return Error(str(exc))
-        finally:
-            pool.close()
-        if response.status != 200:
+        if response.status != OK_STATUS:
             return Error(f"status {response.status}")
-        try:
-            return Ok(_decode(topic, response.body))
-        except ValidationError as exc:
-            return Error(f"the peer's answer is invalid: {exc.error_count()} errors")
+        return decode_topic(topic, response.body)
 
     async def _serve(self, request: HttpRequest) -> HttpResponse:
-        name = request.target.removeprefix(TOPICS_PATH)
-        found = next((t for t in self._snapshots if t.value == name), None)
-        batch = None if found is None else self._snapshots[found]()
-        if found is None or batch is None:
+        path, _, query = request.target.partition("?")
+        name = path.removeprefix(TOPICS_PATH)
+        topic = next((t for t in self._providers if t.value == name), None)
+        if topic is None:
             return HttpResponse(404)
-        return HttpResponse(200, body=_encode(found, batch))
-
+        if query:
+            return await self._serve_poll(topic, parse_qs(query))
+        batch = self._providers[topic].snapshot()
+        if batch is None:
+            return HttpResponse(404)
+        return HttpResponse(200, body=encode_topic(topic, batch, is_snapshot=True))
 
-def _encode(topic: Topic, batch: Batch) -> bytes:
-    items = {item.name: item.value for item in batch.items}
-    return _ADAPTERS[topic].dump_json(_PAYLOADS[topic](batch.revision, items))
+    async def _serve_poll(
+        self, topic: Topic, query: dict[str, list[str]]
+    ) -> HttpResponse:
+        try:
+            after, wait_ms = (int(query[name][0]) for name in ("after", "wait_ms"))
+        except (KeyError, ValueError):
+            return HttpResponse(400)
+        found = self._current_changes(topic, after)
+        if self.is_starting() if found is None else _is_empty(found):
+            await self._wait_for_change(topic, min(wait_ms / 1000, POLL_WAIT_S))
+            found = self._current_changes(topic, after)
+        if found is None:
+            return HttpResponse(503)
+        batch, is_snapshot = found
+        return HttpResponse(
+            200, body=encode_topic(topic, batch, is_snapshot=is_snapshot)
+        )
 
+    def _current_changes(self, topic: Topic, after: int) -> tuple[Batch, bool] | None:
+        return self._providers[topic].changes(after) if self.is_current() else None
 
-def _decode(topic: Topic, body: bytes) -> Batch:
-    found = _ADAPTERS[topic].validate_json(body)
-    items = tuple(
-        Item(name, _revision(value, found.revision), value)
-        for name, value in found.items.items()
-    )
-    return Batch(items, found.revision)
+    async def _wait_for_change(self, topic: Topic, wait_s: float) -> None:
+        poll: Deferred[None] = Deferred()
+        polls = self._polls.setdefault(topic, [])
+        polls.append(poll)
+        poll.addTimeout(wait_s, self._node.reactor, lambda result, _: None)
+        try:
+            await poll
+        finally:
+            waiting = self._polls[topic]
+            if poll in waiting:
+                waiting.remove(poll)
 
 
-def _revision(value: Any, revision: int) -> int:
-    own: int = getattr(value, "revision", revision)
-    return own
+def _is_empty(changes: tuple[Batch, bool]) -> bool:
+    batch, is_snapshot = changes
+    return not batch.items and not is_snapshot
--- a/packages/gateway/src/sycamorenotch_gateway/_routes.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_routes.py
@@ -24,7 +24,7 @@
 class Routes:
     """Holds the newest configuration; its revision never decreases."""
 
-    after: ClassVar[tuple[str, ...]] = ("relay",)
+    after: ClassVar[tuple[str, ...]] = ("relay", "sources")
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -42,7 +42,7 @@
 class Workers:
     """Workers from the store, evacuated data centres, and connection pools."""
 
-    after: ClassVar[tuple[str, ...]] = ("relay", "routes", "suspicion")
+    after: ClassVar[tuple[str, ...]] = ("relay", "sources", "routes", "suspicion")
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
--- a/packages/kernel/src/sycamorenotch_kernel/_feeds.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_feeds.py
@@ -93,10 +93,14 @@
         """
         ...
 
-    def watch(self, topic: Topic, after: int) -> Awaitable[Result[Batch, FeedError]]:
+    def watch(
+        self, topic: Topic, after: int, wait_s: float | None = None
+    ) -> Awaitable[Result[Batch, FeedError]]:
         """Wait for changes after a revision.
 
         An empty batch means that nothing changed within the wait.
+
+        :param wait_s: longest wait in seconds; by default as long as suits the store.
         """
         ...
 
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -118,6 +118,9 @@
 from sycamorenotch_policies._steering_view import PlanDecision
 from sycamorenotch_policies._steering_view import SteeringView
 from sycamorenotch_policies._steering_view import WorkerReport
+from sycamorenotch_policies._topic_log import TopicLog
+from sycamorenotch_policies._topic_sources import TopicSources
+from sycamorenotch_policies._topic_sources import choose_watchers
 from sycamorenotch_policies._usage_meter import UsageMeter
 from sycamorenotch_policies._worker_choice import ChosenWorker
 from sycamorenotch_policies._worker_choice import NoCapacity
@@ -223,6 +226,8 @@
     "SteeringView",
     "Strike",
     "Ticket",
+    "TopicLog",
+    "TopicSources",
     "Transition",
     "TwoChoices",
     "UnlimitedAdmission",
@@ -242,6 +247,7 @@
     "apportion",
     "assess",
     "choose_instances",
+    "choose_watchers",
     "excess_grants",
     "excess_links",
     "excess_shifts",
--- /dev/null
+++ b/packages/policies/src/sycamorenotch_policies/_topic_log.py
@@ -0,0 +1,63 @@
+"""Items of a topic with their recent changes, for readers that follow them."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import final
+
+from sycamorenotch_kernel import Batch
+from sycamorenotch_kernel import Item
+
+# Readers that are further behind get all items.
+MAX_CHANGES = 2_048
+
+
+@final
+class TopicLog:
+    """Keeps the items of a topic and which of them changed at which revision.
+
+    Items that could not be decoded are kept too, so that each reader reports them.
+    """
+
+    def __init__(self) -> None:
+        self._items: dict[str, Item] = {}
+        self._changes: deque[tuple[int, Item]] = deque()
+        # Changes after this revision are complete.
+        self._base = 0
+        self.revision = 0
+
+    def apply(self, batch: Batch, *, is_snapshot: bool) -> None:
+        """Add a batch of changes, or replace all items."""
+        if is_snapshot:
+            self._items.clear()
+            self._changes.clear()
+            self._base = batch.revision
+        for item in batch.items:
+            if item.removed:
+                self._items.pop(item.name, None)
+            else:
+                self._items[item.name] = item
+            if not is_snapshot:
+                self._changes.append((batch.revision, item))
+        while len(self._changes) > MAX_CHANGES:
+            self._base, _ = self._changes.popleft()
+        self.revision = batch.revision
+
+    def snapshot(self) -> Batch:
+        """Return all items."""
+        return Batch(tuple(self._items.values()), self.revision)
+
+    def since(self, revision: int) -> tuple[Batch, bool]:
+        """Return what changed after a revision.
+
+        :return: the changed items, each once, and whether they are all items of the
+            topic because the changes are not known.
+        """
+        if revision < self._base:
+            return self.snapshot(), True
+        changed = {
+            item.name: item
+            for changed_at, item in self._changes
+            if changed_at > revision
+        }
+        return Batch(tuple(changed.values()), self.revision), False
--- /dev/null
+++ b/packages/policies/src/sycamorenotch_policies/_topic_sources.py
@@ -0,0 +1,87 @@
+"""Which instances watch the store, and from which of them the others follow it."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from math import ceil
+from typing import final
+
+from sycamorenotch_kernel import InstanceId
+from sycamorenotch_policies._rendezvous import highest
+
+# Two in each region, so that one stays when the other is lost.
+MIN_WATCHERS = 2
+# Each watcher answers the polls of at most this many others.
+FOLLOWERS_PER_WATCHER = 48
+# In a smaller region, watching for others costs as many calls as it saves.
+MIN_RELAYED_MEMBERS = 6
+# A watcher that failed is not polled for this time.
+SUSPICION_S = 5.0
+
+
+def choose_watchers(members: Collection[str]) -> frozenset[str]:
+    """Return the instances of a region that watch the store for all of them.
+
+    Instances that agree on the members agree on the watchers, and a member that
+    joins or leaves replaces at most one of them.
+
+    :param members: identifiers of the live instances.
+    """
+    if len(members) < MIN_RELAYED_MEMBERS:
+        return frozenset(members)
+    count = max(MIN_WATCHERS, ceil(len(members) / FOLLOWERS_PER_WATCHER))
+    return frozenset(highest("watch", map(InstanceId, members), count))
+
+
+@final
+class TopicSources:
+    """Chooses from where one instance follows the topics.
+
+    All times are seconds on the monotonic clock.
+
+    :param own_id: identifier of this instance.
+    """
+
+    def __init__(self, own_id: str) -> None:
+        self._own_id = own_id
+        self._members: frozenset[str] = frozenset({own_id})
+        self._watchers: frozenset[str] = frozenset({own_id})
+        self._suspect_until: dict[str, float] = {}
+
+    def set_members(self, others: Collection[str]) -> None:
+        """Set the other live instances of the region."""
+        members = frozenset(others) | {self._own_id}
+        if members != self._members:
+            self._members = members
+            self._watchers = choose_watchers(members)
+
+    @property
+    def watches(self) -> bool:
+        """Whether this instance is to watch the store."""
+        return self._own_id in self._watchers
+
+    @property
+    def serves_others(self) -> bool:
+        """Whether other instances follow the store through this one."""
+        return self.watches and len(self._watchers) < len(self._members)
+
+    def choose(self, now: float) -> str | None:
+        """Return the watcher to follow, or ``None`` to watch the store directly.
+
+        The followers of a region are spread over its watchers.
+        """
+        if self.watches:
+            return None
+        trusted = (
+            InstanceId(name)
+            for name in self._watchers
+            if now >= self._suspect_until.get(name, now)
+        )
+        return next(iter(highest(f"follow|{self._own_id}", trusted, 1)), None)
+
+    def record_failure(self, watcher: str, now: float) -> None:
+        """Record that a watcher did not answer, or is not current itself."""
+        self._suspect_until = {
+            name: until for name, until in self._suspect_until.items() if until > now
+        }
+        self._suspect_until[watcher] = now + SUSPICION_S
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -104,7 +104,8 @@
         if self.down:
             return HttpResponse(503)
         if request.method == "GET" and "watch" in query:
-            return await self._watch(kind, int(query["watch"]))
+            wait_s = int(query["wait_ms"]) / 1000
+            return await self._watch(kind, int(query["watch"]), wait_s)
         if request.method == "GET":
             return self._list(kind, query.get("after", ""))
         body = orjson.loads(request.body) if request.body else {}
@@ -123,7 +124,7 @@
         more = len(names) > PAGE_SIZE
         return as_json({"items": items, "has_more": more, "at": self.revision})
 
-    async def _watch(self, kind: str, after: int) -> HttpResponse:
+    async def _watch(self, kind: str, after: int, wait_s: float) -> HttpResponse:
         if after < self.oldest and not self.drops_watch_events:
             return as_json({}, 410)
         known = any(found == kind and rev > after for rev, found, _, _ in self.changes)
@@ -131,6 +132,7 @@
             return self._events(kind, after)
         answer: Deferred[HttpResponse] = Deferred(lambda _: None)
         self._pending_watches.append((kind, after, answer))
+        answer.addTimeout(wait_s, reactor, lambda result, _: self._events(kind, after))
         return await answer
 
 
