Judge unheard workers by the load of their service

Change: as a report ages, the moving average of what the service's workers reported takes its place. A service whose workers are busy on average has one owner an object.

--- a/packages/policies/src/sycamorenotch_policies/_worker_choice.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_choice.py
@@ -18,9 +18,12 @@
 
 # Requests per slot, above which a request would be too late at most workers.
 MAX_LOAD_PER_SLOT = 1.5
-# More owners spread a burst better, but each one has to load the object first,
-# which takes as long as several requests for a loaded object.
+# More owners spread the load of one object better, but each has to load it first,
+# which takes as long as several requests for a loaded object, and then remembers it
+# in place of another. A service that is busy as a whole has no capacity for that.
 OWNERS_PER_OBJECT = 2
+OWNERS_PER_OBJECT_WHEN_BUSY = 1
+BUSY_LOAD_PER_SLOT = 1.0
 # Assumed latency of a worker that has not answered yet.
 DEFAULT_LATENCY_S = 0.5
 MIN_RETRY_AFTER_S = 0.2
@@ -131,7 +134,7 @@
                 "no worker of the service can accept the request", MIN_RETRY_AFTER_S
             )
         responsive = [view for view in allowed if now < view.unresponsive_from()]
-        owners = self._owners(request, responsive or allowed)
+        owners = self._owners(request, responsive or allowed, now)
         for index, view in enumerate(owners):
             load = view.load(now) / view.entry.slots
             if load < MAX_LOAD_PER_SLOT:
@@ -151,18 +154,20 @@
         return view.sent_last_second(now) + 1 <= rate
 
     def _owners(
-        self, request: WorkerRequest, views: list[WorkerView]
+        self, request: WorkerRequest, views: list[WorkerView], now: float
     ) -> list[WorkerView]:
         key = request.object_key
         if not key or not request.route.sticky:
             key = str(self._random.random())
         ordered = sorted(views, key=lambda view: self._owner_score(key, view))
+        busy = views[0].service_load.per_slot(now) >= BUSY_LOAD_PER_SLOT
+        count = OWNERS_PER_OBJECT_WHEN_BUSY if busy else OWNERS_PER_OBJECT
         if request.route.kind is not RequestKind.DOWNLOAD:
-            return ordered[:OWNERS_PER_OBJECT]
+            return ordered[:count]
         # Sending a large answer between regions costs more than a second owner.
         local = [view for view in ordered if view.region == self._region]
         remote = [view for view in ordered if view.region != self._region]
-        return local[:OWNERS_PER_OBJECT] + remote[:1]
+        return local[:count] + remote[:1]
 
     def _owner_score(self, key: str, view: WorkerView) -> float:
         """Return the weighted rendezvous score; the lowest scores own the object."""
--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -17,6 +17,7 @@
 from sycamorenotch_kernel import WorkerEntry
 from sycamorenotch_policies._overdue import MIN_WAIT_S
 from sycamorenotch_policies._overdue import LatencyEstimate
+from sycamorenotch_policies._service_load import ServiceLoad
 
 # A load report is stale after the service time of a few requests.
 REPORT_LIFETIME_S = 1.5
@@ -67,6 +68,7 @@
     :param missing_until: time at which the worker is removed unless its expired
         entry comes back; none while the entry is present.
     :param estimate: latency of the answers of all workers of the service.
+    :param service_load: mean load of all workers of the service.
     :param failed_at: time of the last failure.
     :param latency_s: moving average of the latency of regular answers.
     :param last_answer_at: time of the last answer to this instance.
@@ -78,6 +80,7 @@
     region: str
     seen_at: float
     estimate: LatencyEstimate = field(default_factory=LatencyEstimate)
+    service_load: ServiceLoad = field(default_factory=ServiceLoad)
     failed_at: float = -1e9
     others_in_flight: float = 0.0
     reported_at: float = -1e9
@@ -117,18 +120,21 @@
     def load(self, now: float) -> float:
         """Return the estimated number of requests at the worker, running and queued.
 
-        The share of other instances fades out as the last load report ages.
+        As the last load report ages, the share of other instances goes over to the
+        mean of the service.
         """
-        age = now - self.reported_at
-        if age >= REPORT_LIFETIME_S:
-            return float(self.in_flight)
-        return self.in_flight + self.others_in_flight * (1.0 - age / REPORT_LIFETIME_S)
+        weight = max(0.0, 1.0 - (now - self.reported_at) / REPORT_LIFETIME_S)
+        expected = self.service_load.per_slot(now) * self.entry.slots
+        others = max(0.0, expected - self.in_flight)
+        return self.in_flight + weight * self.others_in_flight + (1.0 - weight) * others
 
     def observe_load(self, report: LoadReport, now: float) -> None:
         """Record a load report that came with an answer to this instance."""
         # The report may still count the request that it answers.
         own = self.in_flight + 1
-        self.others_in_flight = max(0.0, report.running + report.waiting - own)
+        total = report.running + report.waiting
+        self.others_in_flight = max(0.0, total - own)
+        self.service_load.observe(total / self.entry.slots, now)
         self.reported_at = now
 
     def record_start(self, now: float) -> None:
@@ -200,6 +206,7 @@
         self._views: dict[str, WorkerView] = {}
         self._services: dict[str, tuple[WorkerView, ...]] = {}
         self._estimates: dict[str, LatencyEstimate] = {}
+        self._service_loads: dict[str, ServiceLoad] = {}
         self._evacuated: frozenset[str] = frozenset()
         self.limits: dict[str, ServiceLimits] = {}
         self.version = 0
@@ -343,7 +350,8 @@
     def _new_view(self, entry: WorkerEntry, now: float) -> WorkerView:
         region = self._region_of(entry.data_centre)
         estimate = self._estimates.setdefault(entry.service, LatencyEstimate())
-        view = WorkerView(entry, region, now, estimate)
+        service_load = self._service_loads.setdefault(entry.service, ServiceLoad())
+        view = WorkerView(entry, region, now, estimate, service_load)
         if entry.cold_s > 0:
             view.cold_until = now + entry.cold_s
         return view
