Send heartbeats by region, within a bounded rate

Cause: heartbeats went from each instance to all others, 120 a second at the most, so that at 195 machines a dead instance was noticed after 8 s, while the directory's rule allows 7 s. Look-ups name instances of the caller's region only, unless it has none. Change: peers of the own region get a heartbeat each turn, the others by turns at a lower rate; each kind has its own time-out. An instance that restarted counts as new, so that it is answered with a full description at once.

--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -26,7 +26,6 @@
 from sycamorenotch_policies import Heartbeat
 from sycamorenotch_policies import Liveness
 from sycamorenotch_policies import UsageMeter
-from sycamorenotch_policies import heartbeat_interval_s
 
 # Largest datagram that is read; a heartbeat is far smaller.
 MAX_DATAGRAM_BYTES = 2_048
@@ -48,7 +47,7 @@
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
         settings = node.settings
-        self.failure_detector = Liveness(settings.instance)
+        self.failure_detector = Liveness(settings.instance, settings.placement.region)
         self._sequence = 0
         self._codec = HeartbeatCodec()
         self._heartbeats = node.background(self._heartbeat_turn)
@@ -130,7 +129,9 @@
 
     def broadcast_heartbeat(self) -> None:
         """Send every peer a full heartbeat now, after a change of this instance."""
-        self._send_heartbeats(full=True)
+        message = self._message(full=True)
+        for entry in self.failure_detector.recipients():
+            self._send(message, entry)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:
         """Record a peer's heartbeat and merge its strikes."""
@@ -151,13 +152,11 @@
         self._send_heartbeats()
         for name in self.failure_detector.remove_silent(self._node.clock()):
             self._node.sink.emit(PeerLost(name, self.live_count))
-        return timedelta(
-            seconds=heartbeat_interval_s(len(self.failure_detector.recipients()))
-        )
+        return timedelta(seconds=self.failure_detector.interval_s)
 
-    def _send_heartbeats(self, *, full: bool = False) -> None:
-        message = self._message(full=full)
-        for entry in self.failure_detector.recipients():
+    def _send_heartbeats(self) -> None:
+        message = self._message()
+        for entry in self.failure_detector.next_recipients():
             self._send(message, entry)
 
     def _message(self, *, full: bool = False) -> bytes:
@@ -190,7 +189,7 @@
         self.failure_detector.set_entries(
             item.value for item in found.ok.items if item.value is not None
         )
-        self._send_heartbeats(full=True)
+        self.broadcast_heartbeat()
         return ENTRIES_REREAD_INTERVAL
 
     def _back_off(self, detail: str) -> timedelta:
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -73,7 +73,6 @@
 from sycamorenotch_policies._ledger import ShiftLedger
 from sycamorenotch_policies._liveness import Heartbeat
 from sycamorenotch_policies._liveness import Liveness
-from sycamorenotch_policies._liveness import heartbeat_interval_s
 from sycamorenotch_policies._lookup import LookupAnswer
 from sycamorenotch_policies._lookup import LookupTable
 from sycamorenotch_policies._measurements import Assessment
@@ -253,7 +252,6 @@
     "excess_shifts",
     "fingerprint",
     "hash_to_unit_interval",
-    "heartbeat_interval_s",
     "lease_candidates",
     "make_plan",
     "neighbours",
--- a/packages/policies/src/sycamorenotch_policies/_liveness.py
+++ b/packages/policies/src/sycamorenotch_policies/_liveness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import final
@@ -10,23 +11,44 @@
 from sycamorenotch_kernel import Resources
 from sycamorenotch_policies._route_table import hash_to_unit_interval
 
-# Single datagrams get lost; a loss of five in a row is rare.
+# Single datagrams get lost; a loss of so many in a row is rare.
 MISSED_HEARTBEATS = 5
+# At longer intervals, to detect a dead instance of a large region in time.
+MISSED_LONG_HEARTBEATS = 4
+LONG_INTERVAL_S = 1.0
 # Shortest interval between two heartbeats to one peer.
 MIN_HEARTBEAT_INTERVAL_S = 0.5
-# Most heartbeats that one instance sends per second, over all peers.
-MAX_HEARTBEATS_PER_SECOND = 120.0
+# Most heartbeats that one instance sends per second: to peers of its own region, which
+# its look-up answers name, and to all others.
+MAX_NEAR_HEARTBEATS_PER_SECOND = 90.0
+MAX_FAR_HEARTBEATS_PER_SECOND = 30.0
+# Absorbs rounding in sums of fractions.
+EPSILON = 1e-9
 # An instance that reports no resources counts as one core and a gigabit link.
 DEFAULT_RESOURCES = Resources(1.0, 1000.0)
 NO_USAGE = Resources(0.0, 0.0)
 
 
-def heartbeat_interval_s(peers: int) -> float:
-    """Return the interval between heartbeats to each peer, in seconds.
+def near_interval_s(peers: int) -> float:
+    """Return the interval between heartbeats to a peer of the own region, in seconds.
 
-    :param peers: number of peers.
+    :param peers: number of such peers.
     """
-    return max(MIN_HEARTBEAT_INTERVAL_S, peers / MAX_HEARTBEATS_PER_SECOND)
+    return max(MIN_HEARTBEAT_INTERVAL_S, peers / MAX_NEAR_HEARTBEATS_PER_SECOND)
+
+
+def far_interval_s(peers: int) -> float:
+    """Return the interval between heartbeats to a peer of another region, in seconds.
+
+    :param peers: number of such peers.
+    """
+    return max(MIN_HEARTBEAT_INTERVAL_S, peers / MAX_FAR_HEARTBEATS_PER_SECOND)
+
+
+def timeout_s(interval_s: float) -> float:
+    """Return the silence after which a peer is dead, in seconds."""
+    long = interval_s > LONG_INTERVAL_S
+    return interval_s * (MISSED_LONG_HEARTBEATS if long else MISSED_HEARTBEATS)
 
 
 @final
@@ -58,16 +80,22 @@
 class Liveness:
     """Instances that this one considers alive by their heartbeats.
 
-    An instance is alive until :data:`MISSED_HEARTBEATS` intervals have passed
-    without a heartbeat from it. All times are seconds on the monotonic clock.
+    An instance is alive until several heartbeats from it are missing. Those of the own
+    region are heard from more often, as look-up answers name them. All times are
+    seconds on the monotonic clock.
 
     :param own_id: identifier of this instance.
+    :param region: region of this instance.
     """
 
-    def __init__(self, own_id: str) -> None:
+    def __init__(self, own_id: str, region: str) -> None:
         self._own_id = own_id
+        self._region = region
         self._received: dict[str, _Received] = {}
         self._known: dict[str, PeerEntry] = {}
+        # Far peers that wait for a heartbeat, and the fraction of the next one.
+        self._far_turn: deque[str] = deque()
+        self._far_credit = 0.0
 
     def set_entries(self, entries: Iterable[PeerEntry]) -> None:
         """Set the entries of the store; an entry is no evidence of a live instance."""
@@ -76,7 +104,8 @@
     def observe(self, heartbeat: Heartbeat, now: float) -> bool:
         """Record a heartbeat; one that is not newer than the last is discarded.
 
-        :return: whether the instance was not alive before.
+        :return: whether the instance was not alive before, or has restarted and so
+            knows of no others.
         """
         name = heartbeat.entry.id
         if name == self._own_id:
@@ -84,12 +113,39 @@
         old = self._received.get(name)
         if old is not None and _version(heartbeat) <= _version(old.heartbeat):
             return False
-        fresh = old is None or now - old.received_at > self._timeout_s()
+        fresh = (
+            old is None
+            or old.heartbeat.entry.started != heartbeat.entry.started
+            or not self._is_alive(old, now, self._timeouts())
+        )
         self._received[name] = _Received(heartbeat, now)
         return fresh
 
+    @property
+    def interval_s(self) -> float:
+        """Time between two turns of heartbeats, in seconds."""
+        near, _ = self._split_recipients()
+        return near_interval_s(len(near))
+
+    def next_recipients(self) -> tuple[PeerEntry, ...]:
+        """Return the instances that get a heartbeat in this turn.
+
+        These are all of the own region, and some of the others by turns.
+        """
+        near, far = self._split_recipients()
+        turns = far_interval_s(len(far)) / near_interval_s(len(near))
+        self._far_credit = min(self._far_credit + len(far) / max(1.0, turns), len(far))
+        due = []
+        self._far_turn = deque(name for name in self._far_turn if name in far)
+        while self._far_credit >= 1.0 - EPSILON:
+            if not self._far_turn:
+                self._far_turn.extend(sorted(far))
+            due.append(far[self._far_turn.popleft()])
+            self._far_credit -= 1.0
+        return (*near.values(), *due)
+
     def recipients(self) -> tuple[PeerEntry, ...]:
-        """Return the instances to send heartbeats to."""
+        """Return all instances that get heartbeats."""
         entries = {
             name: received.heartbeat.entry for name, received in self._received.items()
         }
@@ -97,11 +153,11 @@
 
     def live(self, now: float) -> tuple[PeerEntry, ...]:
         """Return the other instances that are alive and not leaving."""
-        timeout_s = self._timeout_s()
+        timeouts = self._timeouts()
         return tuple(
             received.heartbeat.entry
             for received in self._received.values()
-            if now - received.received_at <= timeout_s
+            if self._is_alive(received, now, timeouts)
             and not received.heartbeat.entry.leaving
         )
 
@@ -116,10 +172,11 @@
 
     def remove_silent(self, now: float) -> tuple[str, ...]:
         """Remove and return the instances whose heartbeats stopped."""
+        timeouts = self._timeouts()
         gone = tuple(
             name
             for name, received in self._received.items()
-            if now - received.received_at > self._timeout_s()
+            if not self._is_alive(received, now, timeouts)
         )
         for name in gone:
             del self._received[name]
@@ -136,8 +193,36 @@
             for entry in self.live(now)
         )
 
-    def _timeout_s(self) -> float:
-        return MISSED_HEARTBEATS * heartbeat_interval_s(len(self._received) + 1)
+    def _split_recipients(self) -> tuple[dict[str, PeerEntry], dict[str, PeerEntry]]:
+        """Return the recipients of the own region and those of others, by name."""
+        near: dict[str, PeerEntry] = {}
+        far: dict[str, PeerEntry] = {}
+        for entry in self.recipients():
+            (near if entry.region == self._region else far)[entry.id] = entry
+        return near, far
+
+    def _timeouts(self) -> tuple[float, float]:
+        """Return the silence after which a near and a far instance is dead.
+
+        All instances have about the same peers, and so the same intervals.
+        """
+        count = sum(
+            received.heartbeat.entry.region == self._region
+            for received in self._received.values()
+        )
+        far_count = len(self._received) - count
+        # A far instance may have more peers of its own region than this one has, and
+        # sends in turns of that length.
+        turn_s = near_interval_s(max(count, far_count) + 1)
+        far_s = max(far_interval_s(len(self._received) + 1), turn_s)
+        return timeout_s(near_interval_s(count + 1)), timeout_s(far_s)
+
+    def _is_alive(
+        self, received: _Received, now: float, timeouts: tuple[float, float]
+    ) -> bool:
+        near_s, far_s = timeouts
+        near = received.heartbeat.entry.region == self._region
+        return now - received.received_at <= (near_s if near else far_s)
 
 
 def _version(heartbeat: Heartbeat) -> tuple[int, int]:
