Let callers of the worker model come back after a refusal

The model of workers without a network lacked what callers do after a refusal: they wait as they are told, for a third of their time at the most, and come back once. The test of memory in overload plays without returns, as before.

--- a/testing/policies/test_load_patterns.py
+++ b/testing/policies/test_load_patterns.py
@@ -46,7 +46,7 @@
 ) -> None:
     # The workers can do 54 requests a second for objects that they do not remember,
     # and four times as many for others: serve twice what the first could be.
-    outcome = play(seed, rate=lambda now: 220.0)
+    outcome = play(seed, rate=lambda now: 220.0, returns=0)
     assert outcome.served >= 2 * 54 / 220
     assert outcome.on_time >= outcome.late
     assert outcome.shed <= MAX_SHED * outcome.arrivals
--- a/testing/policies/worker_model.py
+++ b/testing/policies/worker_model.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from itertools import count
 from random import Random
 from typing import Any
@@ -28,6 +29,8 @@
 from sycamorenotch_policies import WorkerRequest
 
 SERVICE = "s"
+# After a request that two workers shed.
+RETRY_AFTER_S = 0.5
 ROUTE = ForwardingRoute(
     "r",
     "h",
@@ -50,6 +53,9 @@
     :param work_s: mean work for an object that the worker does not remember.
     :param warm_factor: fraction of the work for one that it remembers.
     :param memory: number of objects that a worker remembers.
+    :param returns: how often a caller comes back after a refusal.
+    :param patience_s: time that a caller has for all its tries; it waits as it is
+        told, for a third of what is left at the most.
     """
 
     rate: Callable[[float], float]
@@ -63,6 +69,8 @@
     work_s: float = 1.0
     warm_factor: float = 0.25
     memory: int = 13
+    returns: int = 1
+    patience_s: float = 4.0
     deadline_s: float = 2.0
     aim_s: float = 0.6
     delay_s: float = 0.01
@@ -77,6 +85,7 @@
     on_time: int = 0
     late: int = 0
     refused: int = 0
+    refused_again: int = 0
     failed: int = 0
     arrivals: int = 0
     shed: int = 0
@@ -92,11 +101,17 @@
         return (self.on_time + 0.2 * self.late) / self.total
 
 
-@dataclass
-class _Work:
+@dataclass(frozen=True)
+class _Call:
     key: str
     arrived_at: float
     deadline: float
+    returned: int = 0
+
+
+@dataclass
+class _Work:
+    call: _Call
     instance: _Instance
     chosen: ChosenWorker
     started_at: float
@@ -164,30 +179,34 @@
         self.outcome.total += 1
         hot = self._random.random() < self.pattern.hot_share
         key = "0" if hot else str(self._random.randrange(self.pattern.objects))
-        instance = self._random.choice(self._instances)
-        deadline = self._now + self.pattern.deadline_s
-        self._send(key, instance, self._now, deadline, frozenset())
-
-    def _send(
-        self,
-        key: str,
-        instance: _Instance,
-        arrived_at: float,
-        deadline: float,
-        tried: frozenset[str],
-    ) -> None:
-        request = WorkerRequest(ROUTE, SERVICE, key, tried)
+        self._call(_Call(key, self._now, self._now + self.pattern.deadline_s))
+
+    def _call(self, call: _Call) -> None:
+        self._send(call, self._random.choice(self._instances), frozenset())
+
+    def _send(self, call: _Call, instance: _Instance, tried: frozenset[str]) -> None:
+        request = WorkerRequest(ROUTE, SERVICE, call.key, tried)
         views = instance.directory.usable(SERVICE, self._now)
         chosen = instance.choice.choose(request, views, self._now)
         if not isinstance(chosen, ChosenWorker):
-            self.outcome.refused += 1
+            self._refuse(call, chosen.retry_after_s)
             return
         chosen.view.record_start(self._now)
-        work = _Work(
-            key, arrived_at, deadline, instance, chosen, self._now, bool(tried)
-        )
+        work = _Work(call, instance, chosen, self._now, bool(tried))
         self._later(self.pattern.delay_s, lambda: self._receive(work))
 
+    def _refuse(self, call: _Call, retry_after_s: float) -> None:
+        if call.returned >= self.pattern.returns:
+            self.outcome.refused += 1
+            self.outcome.refused_again += call.returned > 0
+            return
+        left_s = call.arrived_at + self.pattern.patience_s - self._now
+        back_at = self._now + min(retry_after_s, left_s / 3)
+        ends_at = call.arrived_at + self.pattern.patience_s
+        deadline = min(back_at + self.pattern.deadline_s, ends_at)
+        again = replace(call, deadline=deadline, returned=call.returned + 1)
+        self._later(back_at - self._now, lambda: self._call(again))
+
     def _receive(self, work: _Work) -> None:
         worker = self._workers[work.chosen.view.entry.id]
         self.outcome.arrivals += 1
@@ -202,14 +221,15 @@
 
     def _start(self, worker: _Worker, work: _Work) -> None:
         worker.running += 1
-        warm = work.key in worker.memory
-        worker.memory[work.key] = None
-        worker.memory.move_to_end(work.key)
+        key = work.call.key
+        warm = key in worker.memory
+        worker.memory[key] = None
+        worker.memory.move_to_end(key)
         while len(worker.memory) > self.pattern.memory:
             worker.memory.popitem(last=False)
         work_s = self.pattern.work_s * self._random.uniform(0.7, 1.3)
         work_s *= self.pattern.warm_factor if warm else 1.0
-        ends_at = min(self._now + work_s, max(self._now, work.deadline))
+        ends_at = min(self._now + work_s, max(self._now, work.call.deadline))
         complete = ends_at == self._now + work_s
         self._later(ends_at - self._now, lambda: self._finish(worker, work, complete))
 
@@ -222,7 +242,7 @@
         if complete:
             view.last_answer_at = self._now
             view.record_success(latency_s)
-            on_time = self._now - work.arrived_at <= self.pattern.aim_s
+            on_time = self._now - work.call.arrived_at <= self.pattern.aim_s
             self.outcome.on_time += on_time
             self.outcome.late += not on_time
         else:
@@ -234,10 +254,9 @@
         view = work.chosen.view
         view.record_end(work.started_at)
         if work.second_try:
-            self.outcome.refused += 1
+            self._refuse(work.call, RETRY_AFTER_S)
             return
-        tried = frozenset({view.entry.id})
-        self._send(work.key, work.instance, work.arrived_at, work.deadline, tried)
+        self._send(work.call, work.instance, frozenset({view.entry.id}))
 
     def _report(self, worker: _Worker, work: _Work) -> None:
         report = LoadReport(worker.running, len(worker.waiting), self.pattern.slots)
