Leave the store alone in an outage, and count answers that do not end

Cause: in an outage every follower tried the store for each topic up to twice a second, as all instances did before; refused calls are charged. Change: a follower in an outage asks its watchers every 0.3 s and tries the store itself after 0.6 to 2.4 s; a watcher that refuses is asked again after half a second. An answer that has begun and not ended at the deadline is a failure of its worker.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -55,6 +55,16 @@
     timed_out: bool = False
 
 
+@final
+@dataclass(slots=True)
+class _Progress:
+    response_started: bool = False
+
+    def start_response(self) -> None:
+        """Record that bytes of an answer arrived."""
+        self.response_started = True
+
+
 @final
 class Attempts:
     """Sends requests to workers and records the results per worker."""
@@ -113,20 +123,30 @@
         self, call: ForwardCall, view: WorkerView, deadline: float
     ) -> AttemptOutcome:
         started_at = self._node.clock()
-        exchange = self._start_exchange(call, view, started_at, deadline - started_at)
+        progress = _Progress()
+        exchange = self._start_exchange(
+            call, view, progress, started_at, deadline - started_at
+        )
         try:
             response = await exchange
         except ExchangeError as exc:
             self._record_idle_reset(view, exc, started_at)
             return self._record_exchange_error(call, view, exc)
         except DeferredTimeoutError:
-            return AttemptOutcome(
-                Ran.UNKNOWN, "no answer before the deadline", timed_out=True
-            )
+            detail = "no answer before the deadline"
+            if progress.response_started:
+                detail = "the answer did not end before the deadline"
+                self._record_failure(view, detail, unreachable=False)
+            return AttemptOutcome(Ran.UNKNOWN, detail, timed_out=True)
         return _classify(self._node.dialect.decode_reply(response))
 
     def _start_exchange(
-        self, call: ForwardCall, view: WorkerView, now: float, remaining_s: float
+        self,
+        call: ForwardCall,
+        view: WorkerView,
+        progress: _Progress,
+        now: float,
+        remaining_s: float,
     ) -> Deferred[HttpResponse]:
         dialect = self._node.dialect
         exchange: Deferred[HttpResponse] = Deferred.fromCoroutine(
@@ -135,6 +155,7 @@
                 min(CONNECT_TIMEOUT_S, remaining_s),
                 lambda response: dialect.matches_request(call, response),
                 self._workers.idle_timeout(view.entry.service).max_idle_s(now),
+                progress.start_response,
             )
         )
         return exchange.addTimeout(remaining_s + DEADLINE_GRACE_S, self._node.reactor)
--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -21,10 +21,14 @@
 from sycamorenotch_kernel import Topic
 from sycamorenotch_policies import TopicLog
 
-# Exponential backoff with jitter after failed calls. The maximum is such that a
+# First and longest delay of the exponential backoff with jitter after failed calls. The
+# maximum is such that a
 # change is applied within a second of the store's recovery.
-INITIAL_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 0.8
+BACKOFF_S = (0.1, 0.8)
+# A follower learns of the store's recovery from a watcher, so that in an outage only
+# the few watchers try the store often. It asks the watchers at this interval.
+FOLLOWER_BACKOFF_S = (0.6, 2.4)
+OUTAGE_POLL_INTERVAL = timedelta(seconds=0.3)
 NO_DELAY = timedelta()
 # Delay of the next watch after a change. Changes come in groups and each call is
 # charged. The delays are far below the bounds on drains and configuration changes.
@@ -70,6 +74,8 @@
         self._sources = node.require(Sources)
         self._failures = 0
         self._lost_since: float | None = None
+        # In an outage, a follower does not try the store before this time.
+        self._next_try_at = 0.0
         self.regained_at: float | None = None
         self.complete = False
 
@@ -104,6 +110,8 @@
         source = None if self._checks_store else self._sources.choose()
         if source is not None:
             return await self._follow_peer(source)
+        if self._node.clock() < self._next_try_at and not self._sources.watches:
+            return OUTAGE_POLL_INTERVAL
         return await self._follow_store()
 
     async def _follow_peer(self, source: PeerEntry) -> timedelta:
@@ -111,8 +119,10 @@
         found = await self._relay.poll(source, self._topic, self._log.revision)
         if found.is_error():
             self._sources.record_failure(self._topic, source, found.error)
-            self._checks_store = self.complete
-            return NO_DELAY if self.complete else STARTUP_RETRY_DELAY
+            if not self.complete:
+                return STARTUP_RETRY_DELAY
+            self._checks_store = not self.lost
+            return OUTAGE_POLL_INTERVAL if self.lost else NO_DELAY
         self._record_success()
         batch, is_snapshot = found.ok
         if batch.revision > self._log.revision or not self.complete:
@@ -188,6 +198,12 @@
                     self._topic.value, error.fault.value, error.detail, self._failures
                 )
             )
-        backoff = min(INITIAL_BACKOFF_S * 2.0**self._failures, MAX_BACKOFF_S)
+        follows = not self._sources.watches
+        initial_s, max_s = FOLLOWER_BACKOFF_S if follows else BACKOFF_S
+        backoff_s = min(initial_s * 2.0**self._failures, max_s)
+        backoff_s *= self._node.random.uniform(0.5, 1.0)
         self._failures += 1
-        return timedelta(seconds=backoff * self._node.random.uniform(0.5, 1.0))
+        if follows and self.complete:
+            self._next_try_at = self._node.clock() + backoff_s
+            return OUTAGE_POLL_INTERVAL
+        return timedelta(seconds=backoff_s)
--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import ClassVar
 from typing import Protocol
 from typing import final
@@ -39,6 +40,8 @@
 POLL_WAIT_S = 1.0
 POLL_TIMEOUT_S = 1.4
 OK_STATUS = 200
+# Of an instance that is not current with the store.
+REFUSED_STATUS = 503
 
 
 class TopicProvider(Protocol):
@@ -56,6 +59,18 @@
         ...
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class PollFailure:
+    """Why a peer gave no topic.
+
+    :param refused: whether the peer answered that it is not current.
+    """
+
+    detail: str
+    refused: bool = False
+
+
 @gateway_components.register("relay")
 @final
 class Relay:
@@ -117,7 +132,7 @@
 
     async def poll(
         self, peer: PeerEntry, topic: Topic, after: int
-    ) -> Result[tuple[Batch, bool], str]:
+    ) -> Result[tuple[Batch, bool], PollFailure]:
         """Wait at a peer for changes of a topic.
 
         :param after: newest revision that this instance has.
@@ -168,7 +183,7 @@
         topic: Topic,
         target: str,
         timeout_s: float,
-    ) -> Result[tuple[Batch, bool], str]:
+    ) -> Result[tuple[Batch, bool], PollFailure]:
         request = HttpRequest("GET", target, (("Host", peer.gossip),))
         exchange: Deferred[HttpResponse] = Deferred.fromCoroutine(
             pool.exchange(request, CONNECT_TIMEOUT_S)
@@ -177,10 +192,11 @@
         try:
             response = await exchange
         except (ExchangeError, DeferredTimeoutError) as exc:
-            return Error(str(exc))
+            return Error(PollFailure(str(exc)))
         if response.status != OK_STATUS:
-            return Error(f"status {response.status}")
-        return decode_topic(topic, response.body)
+            detail = f"status {response.status}"
+            return Error(PollFailure(detail, response.status == REFUSED_STATUS))
+        return decode_topic(topic, response.body).map_error(PollFailure)
 
     async def _serve(self, request: HttpRequest) -> HttpResponse:
         path, _, query = request.target.partition("?")
@@ -207,7 +223,7 @@
             await self._wait_for_change(topic, min(wait_ms / 1000, POLL_WAIT_S))
             found = self._current_changes(topic, after)
         if found is None:
-            return HttpResponse(503)
+            return HttpResponse(REFUSED_STATUS)
         batch, is_snapshot = found
         return HttpResponse(
             200, body=encode_topic(topic, batch, is_snapshot=is_snapshot)
--- a/packages/gateway/src/sycamorenotch_gateway/_sources.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_sources.py
@@ -13,6 +13,7 @@
 from sycamorenotch_gateway._events import StorePulseLost
 from sycamorenotch_gateway._events import TopicSourceFailed
 from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._relay import PollFailure
 from sycamorenotch_gateway._relay import Relay
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import FeedError
@@ -94,10 +95,13 @@
         name = self._sources.choose(self._node.clock())
         return None if name is None else self._members[name]
 
-    def record_failure(self, topic: Topic, source: PeerEntry, detail: str) -> None:
+    def record_failure(
+        self, topic: Topic, source: PeerEntry, failure: PollFailure
+    ) -> None:
         """Record that a followed instance did not answer or is not current."""
-        self._sources.record_failure(source.id, self._node.clock())
-        self._node.sink.emit(TopicSourceFailed(topic.value, source.id, detail))
+        now = self._node.clock()
+        self._sources.record_failure(source.id, now, refused=failure.refused)
+        self._node.sink.emit(TopicSourceFailed(topic.value, source.id, failure.detail))
 
     def _update_members(self) -> None:
         region = self._node.settings.placement.region
--- a/packages/policies/src/sycamorenotch_policies/_topic_sources.py
+++ b/packages/policies/src/sycamorenotch_policies/_topic_sources.py
@@ -15,8 +15,10 @@
 FOLLOWERS_PER_WATCHER = 48
 # In a smaller region, watching for others costs as many calls as it saves.
 MIN_RELAYED_MEMBERS = 6
-# A watcher that failed is not polled for this time.
+# A watcher that did not answer is not polled for this time.
 SUSPICION_S = 5.0
+# One that refused, because it is not current itself, may be so again soon.
+REFUSAL_SUSPICION_S = 0.5
 
 
 def choose_watchers(members: Collection[str]) -> frozenset[str]:
@@ -79,9 +81,10 @@
         )
         return next(iter(highest(f"follow|{self._own_id}", trusted, 1)), None)
 
-    def record_failure(self, watcher: str, now: float) -> None:
-        """Record that a watcher did not answer, or is not current itself."""
+    def record_failure(self, watcher: str, now: float, *, refused: bool) -> None:
+        """Record that a watcher did not answer, or refused as it is not current."""
         self._suspect_until = {
             name: until for name, until in self._suspect_until.items() if until > now
         }
-        self._suspect_until[watcher] = now + SUSPICION_S
+        suspicion_s = REFUSAL_SUSPICION_S if refused else SUSPICION_S
+        self._suspect_until[watcher] = now + suspicion_s
--- a/packages/transport/src/sycamorenotch_transport/_http1_client.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -68,6 +68,10 @@
     return True
 
 
+def do_nothing() -> None:
+    """Ignore the start of a response."""
+
+
 @final
 class ClientConnection(Protocol):
     """Connection to a server with at most one request in flight.
@@ -92,6 +96,7 @@
         )
         self._pending: Deferred[HttpResponse] | None = None
         self._matches: ResponseMatcher = match_any
+        self._on_response_started: Callable[[], None] = do_nothing
         self._sent_head: h11.Request | None = None
         self._head: h11.Response | None = None
         self._body = bytearray()
@@ -111,7 +116,10 @@
         configure_socket(self.transport)
 
     def exchange(
-        self, request: HttpRequest, matches: ResponseMatcher
+        self,
+        request: HttpRequest,
+        matches: ResponseMatcher,
+        on_response_started: Callable[[], None],
     ) -> Deferred[HttpResponse]:
         """Send a request.
 
@@ -119,9 +127,11 @@
 
         :param matches: whether a response is the one to this request; others are
             discarded.
+        :param on_response_started: called at the first bytes that arrive.
         :return: fires with the response, or fails with ``ExchangeError``.
         """
         self._matches = matches
+        self._on_response_started = on_response_started
         self._response_started = False
         self._informational = self._discarded = 0
         pending: Deferred[HttpResponse] = Deferred(lambda _: self._cancel())
@@ -145,7 +155,9 @@
             # Unsolicited data would be taken for the response to the next request.
             self.abort()
             return
-        self._response_started = True
+        if not self._response_started:
+            self._response_started = True
+            self._on_response_started()
         self._http.receive_data(data)
         if not self._paused:
             self._parse_turn()
--- a/packages/transport/src/sycamorenotch_transport/_http1_pool.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_pool.py
@@ -16,6 +16,7 @@
 from sycamorenotch_transport._http1_client import ClientConnection
 from sycamorenotch_transport._http1_client import ExchangeError
 from sycamorenotch_transport._http1_client import ResponseMatcher
+from sycamorenotch_transport._http1_client import do_nothing
 from sycamorenotch_transport._http1_client import match_any
 from sycamorenotch_transport._http1_messages import HttpRequest
 from sycamorenotch_transport._http1_messages import HttpResponse
@@ -84,6 +85,7 @@
         connect_timeout_s: float,
         matches: ResponseMatcher = match_any,
         max_idle_s: float = 1e9,
+        on_response_started: Callable[[], None] = do_nothing,
     ) -> HttpResponse:
         """Send a request and wait for the complete response.
 
@@ -92,12 +94,13 @@
             discarded.
         :param max_idle_s: connections that were idle for longer are not reused, in
             addition to each connection's own limit.
+        :param on_response_started: called at the first bytes that arrive.
         :raises ExchangeError: if no complete response arrives.
         """
         connection = self._acquire_idle(max_idle_s)
         if connection is None:
             connection = await self._open(connect_timeout_s)
-        return await connection.exchange(request, matches)
+        return await connection.exchange(request, matches, on_response_started)
 
     def close(self) -> None:
         """Close idle connections now, and those in use after their exchange."""
--- a/packages/transport/src/sycamorenotch_transport/_response_buffers.py
+++ b/packages/transport/src/sycamorenotch_transport/_response_buffers.py
@@ -26,7 +26,7 @@
     buffered_bytes: int = 33_554_432
     informational: int = 20
     discarded: int = 8
-    free_pieces: int = 2_048
+    free_pieces: int = 1_024
     piece_bytes: int = 64
 
 
--- a/testing/platform/test_endless.py
+++ b/testing/platform/test_endless.py
@@ -73,6 +73,7 @@
         answers = await call_many(site, "/once/1", ANSWERS)
         assert {answer.status for answer in answers} <= {502, 503, 504}
         assert time.monotonic() - started_at < PATIENCE_MS / 1000 + 1.0
+        assert site.events("worker.failed")
         await site.wait_until(lambda: not server.answering)
 
     try:
