Keep a worker's own answer when another worker is lost

Cause: with two attempts, the result of the last one to end replaced the other, so that a worker's own failure became a 502 when the second worker was lost. Change: an answer of a worker stays unless another answer takes its place. A follower's delay after an outage no longer holds back its check of the store when its watcher is lost soon after.

--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -22,8 +22,7 @@
 from sycamorenotch_policies import TopicLog
 
 # First and longest delay of the exponential backoff with jitter after failed calls. The
-# maximum is such that a
-# change is applied within a second of the store's recovery.
+# longest is such that a change is applied within a second of the store's recovery.
 BACKOFF_S = (0.1, 0.8)
 # A follower learns of the store's recovery from a watcher, so that in an outage only
 # the few watchers try the store often. It asks the watchers at this interval.
@@ -110,7 +109,8 @@
         source = None if self._checks_store else self._sources.choose()
         if source is not None:
             return await self._follow_peer(source)
-        if self._node.clock() < self._next_try_at and not self._sources.watches:
+        waits = self.lost and self._node.clock() < self._next_try_at
+        if waits and not self._sources.watches:
             return OUTAGE_POLL_INTERVAL
         return await self._follow_store()
 
--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -189,7 +189,10 @@
         while race.running:
             end = await race.next_event()
             if end is not None:
-                result = self._record_outcome(end, progress)
+                latest = self._record_outcome(end, progress)
+                # A worker's own answer is not replaced by a failure of another one.
+                if result is None or result.is_error() or latest.is_ok():
+                    result = latest
                 if not _may_retry(race.route, end.outcome):
                     return result
             if end is None or not race.running:
--- a/testing/platform/test_overdue.py
+++ b/testing/platform/test_overdue.py
@@ -6,6 +6,8 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from sycamorenotch_transport import get_header
+
 
 def total_ran(site) -> int:
     return sum(len(worker.ran) for worker in site.workers)
@@ -58,3 +60,18 @@
         assert (await call).status == 200
 
     run_on_site(scenario, count=1, mode="slow", delay_s=1.4)
+
+
+def test_failure_of_a_worker_is_not_replaced_by_the_loss_of_another(
+    run_on_site,
+) -> None:
+    async def scenario(site) -> None:
+        await site.call()
+        (first,) = [w for w in site.workers if w.ran]
+        (second,) = [w for w in site.workers if w is not first]
+        first.mode, second.mode = "fail", "cut"
+        answer = await site.call()
+        assert answer.status == 500
+        assert get_header(answer.headers, "x-response-signature") == f"{first.name}.1"
+
+    run_on_site(scenario)
