Bound the wait of a malformed poll

Found while reading: a negative wait of a poll raised an error in the timer instead of being answered at once; and the condition for waiting was hard to read.

--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -219,8 +219,10 @@
         except (KeyError, ValueError):
             return HttpResponse(400)
         found = self._current_changes(topic, after)
-        if self.is_starting() if found is None else _is_empty(found):
-            await self._wait_for_change(topic, min(wait_ms / 1000, POLL_WAIT_S))
+        waits = self.is_starting() if found is None else _is_empty(found)
+        if waits:
+            wait_s = min(max(0.0, wait_ms / 1000), POLL_WAIT_S)
+            await self._wait_for_change(topic, wait_s)
             found = self._current_changes(topic, after)
         if found is None:
             return HttpResponse(REFUSED_STATUS)
