Install pbr before the packages, so that hdrhistogram builds on arm64

Cause: packages are built without isolation, hdrhistogram has no wheel for arm64, and its setup.py takes the version from pbr. pbr was installed in the same call, thus too late, and the build was version 0.0.0, which the resolver rejects. Ruled out: setuptools-scm in its place leaves 0.0.0.

Change: the step that installs the build tools also installs pbr, which constraints.txt pins at 7.1.3.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,9 @@
 PACKAGES := kernel transport policies documents daemon gateway cli standins workbench
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name)) -e platform
 STAMP := $(VENV)/.installed
+# Packages are built without isolation. hdrhistogram has no wheel for arm64, and its
+# source build takes its version from pbr.
+BUILD_TOOLS := setuptools pbr
 SEED ?= 1
 STEPS ?= 2000
 SECONDS ?= 20
@@ -17,7 +20,7 @@
 
 $(STAMP): constraints.txt requirements-dev.txt $(foreach name,$(PACKAGES),packages/$(name)/pyproject.toml) platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install --quiet -c constraints.txt setuptools
+	$(BIN)/python -m pip install --quiet -c constraints.txt $(BUILD_TOOLS)
 	$(BIN)/python -m pip install --quiet --no-build-isolation -c constraints.txt \
 		-r requirements-dev.txt $(EDITABLE)
 	touch $@
