Log and count the request limits that workers name

Change: the dialect reads the limit of an answer, an instance remembers the last one of each worker, logs each change once with the requests that it sent in the last second, and counts limited workers on the metrics page. The choice of a worker does not change.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -13,6 +13,7 @@
 
 from sycamorenotch_gateway._events import AttemptFailed
 from sycamorenotch_gateway._events import IdleConnectionForgotten
+from sycamorenotch_gateway._events import RateLimitChanged
 from sycamorenotch_gateway._events import WorkerFailed
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._suspicion import CrashSuspicion
@@ -38,6 +39,10 @@
 DEADLINE_GRACE_S = 0.1
 
 
+# Verdicts on answers that the worker itself wrote, so that they state its limit.
+OWN_VERDICTS = frozenset({Verdict.ANSWER, Verdict.FAULT, Verdict.NOT_RUN})
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class AttemptOutcome:
@@ -109,6 +114,8 @@
         reply = outcome.reply
         if reply is not None and reply.load is not None:
             view.observe_load(reply.load, now)
+        if reply is not None and reply.verdict in OWN_VERDICTS:
+            self._record_rate_limit(view, reply.rate_limit, now)
         if reply is not None:
             view.last_answer_at = now
             self._suspicion.record_alive(view.entry.id)
@@ -207,6 +214,23 @@
             )
         )
 
+    def _record_rate_limit(
+        self, view: WorkerView, limit: float | None, now: float
+    ) -> None:
+        previous = view.rate_limit
+        if limit == previous:
+            return
+        view.rate_limit = limit
+        self._node.sink.emit(
+            RateLimitChanged(
+                view.entry.id,
+                view.entry.service,
+                limit,
+                previous,
+                view.sent_last_second(now),
+            )
+        )
+
     def _report_overtaken(
         self, call: ForwardCall, chosen: ChosenWorker, started_at: float
     ) -> None:
--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -198,6 +198,24 @@
     trusted_s: float
 
 
+@event(6207, "worker.rate-limit-changed", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class RateLimitChanged(Event):
+    """A worker named another limit on its requests, or none any more.
+
+    :param limit: requests per second from all instances together; none if it ended.
+    :param previous: the limit before.
+    :param sent: requests that this instance sent to it in the last second.
+    """
+
+    worker: str
+    service: str
+    limit: float | None
+    previous: float | None
+    sent: int
+
+
 @event(6301, "store.lost", Severity.WARNING)
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_metrics.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_metrics.py
@@ -51,7 +51,7 @@
         )
         self._state = Gauge(
             "sycamorenotch_gateway_state",
-            "Configuration version, known workers and live instances.",
+            "Configuration version, known and rate-limited workers, live instances.",
             **options,
         )
         self._usage = Gauge(
@@ -81,6 +81,8 @@
         """Return the page and its content type."""
         self._state.set({"of": "configuration"}, self._routes.version)
         self._state.set({"of": "workers"}, len(self._workers.directory))
+        limited = self._workers.directory.limited_count()
+        self._state.set({"of": "rate-limited workers"}, limited)
         self._state.set({"of": "instances"}, self._peers.live_count)
         used_resources = self._peers.used_resources
         self._usage.set({"of": "processors"}, round(used_resources.processors, 4))
--- a/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
@@ -258,6 +258,8 @@
     :param reason: HTTP reason phrase.
     :param headers: end-to-end headers, in their original order.
     :param load: the worker's load, if the answer reports it.
+    :param rate_limit: requests per second that the worker takes from all instances
+        together; none if it states no limit.
     """
 
     verdict: Verdict
@@ -266,6 +268,7 @@
     headers: Headers
     body: bytes
     load: LoadReport | None = None
+    rate_limit: float | None = None
 
 
 @final
--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -70,6 +70,8 @@
     :param estimate: latency of the answers of all workers of the service.
     :param service_load: mean load of all workers of the service.
     :param failed_at: time of the last failure.
+    :param rate_limit: requests per second that the worker takes from all instances
+        together; none if it names no limit.
     :param latency_s: moving average of the latency of regular answers.
     :param last_answer_at: time of the last answer to this instance.
     :param sent: send times of the requests of the last second.
@@ -90,6 +92,7 @@
     cold_until: float = -1e9
     cold_cause: ColdCause = ColdCause.REPORTED
     missing_until: float | None = None
+    rate_limit: float | None = None
     latency_s: float | None = None
     last_answer_at: float = -1e9
     sent: deque[float] = field(default_factory=deque)
@@ -328,6 +331,10 @@
             self._rebuild_index()
         return expired
 
+    def limited_count(self) -> int:
+        """Return the number of workers that name a limit on their requests."""
+        return sum(view.rate_limit is not None for view in self._views.values())
+
     def names(self) -> frozenset[str]:
         """Return the identifiers of all workers."""
         return frozenset(self._views)
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -144,6 +144,7 @@
         run it and answer 500; ``cut``: run it and abort the connections;
         ``silent``: run it and never answer; ``slow``: answer after ``delay_s``
         seconds; ``stranger``: answer 421, as another worker at this address does.
+    :param rate_limit: limit that its answers name, in requests per second.
     """
 
     name: str
@@ -154,6 +155,7 @@
     born: int = 1
     state: str = "ready"
     delay_s: float = 0.0
+    rate_limit: str = ""
     ran: list[str] = field(default_factory=list)
     requests: list[HttpRequest] = field(default_factory=list)
     cancelled: int = 0
@@ -203,7 +205,10 @@
         status = 500 if self.mode == "fail" else 200
         signed = ("X-Response-Signature", f"{self.name}.1")
         load = ("X-Server-Load", f"1,0,{self.slots}")
-        return HttpResponse(status, (echo, signed, load), self.name.encode())
+        headers = (echo, signed, load)
+        if self.rate_limit:
+            headers += (("Server-Limit", self.rate_limit),)
+        return HttpResponse(status, headers, self.name.encode())
 
     def _cancel(self) -> None:
         self.cancelled += 1
--- a/testing/platform/test_dialect.py
+++ b/testing/platform/test_dialect.py
@@ -92,6 +92,20 @@
     assert reply.load == LoadReport(3, 1, 8)
 
 
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [
+        ("7.5", 7.5),
+        ("1", 1.0),
+        ("0", 0.0),
+        *((text, None) for text in ("", "-1", "many", "nan", "inf")),
+    ],
+)
+def test_rate_limit_is_read_from_the_answer(dialect, value, rate) -> None:
+    reply = dialect.decode_reply(HttpResponse(200, (SIGNED, ("Server-Limit", value))))
+    assert reply.rate_limit == rate
+
+
 @pytest.mark.parametrize("value", ["", "1,2", "a,b,c", "1,2,3,4", "-1,0,1"])
 def test_load_is_unknown_when_malformed(dialect, value) -> None:
     reply = dialect.decode_reply(HttpResponse(200, (SIGNED, ("X-Server-Load", value))))
