--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -158,6 +158,7 @@
     rate_limit: str = ""
     ran: list[str] = field(default_factory=list)
     requests: list[HttpRequest] = field(default_factory=list)
+    arrivals: list[float] = field(default_factory=list)
     cancelled: int = 0
     opened: int = 0
 
@@ -187,6 +188,7 @@
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         self.requests.append(request)
+        self.arrivals.append(reactor.seconds())
         attempt = get_header(request.headers, "x-attempt-id")
         echo = ("X-Attempt-Id", attempt)
         expected = get_header(request.headers, "x-expected-instance")
