Keep the rate limits of workers, divided among the instances

Cause: nobody read the limit; and the class of fault, a bound that all instances hold together, asks for more than each keeping it alone: every instance was within the limit by itself when their sum was at twice the limit.

Change: an instance sends a limited worker what its share allows, by a token bucket that starts empty. Shares follow the demand that instances report in their heartbeats; where a limit is too small for all of them, weighted rendezvous hashing picks about one holder for each request per second and three more, so that one request a second is shared by ten instances or by 195. Observed limits and their ends are passed on in heartbeats, as an instance without a share sees no answer that tells them. What a worker cannot take goes to the others; if no worker has room, the request is refused at once, and callers are told to come back one by one at the rate at which room comes free, higher ranks first. The load of a worker that was not heard from is at most what its limit lets in.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -13,7 +13,6 @@
 
 from sycamorenotch_gateway._events import AttemptFailed
 from sycamorenotch_gateway._events import IdleConnectionForgotten
-from sycamorenotch_gateway._events import RateLimitChanged
 from sycamorenotch_gateway._events import WorkerFailed
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._suspicion import CrashSuspicion
@@ -217,19 +216,9 @@
     def _record_rate_limit(
         self, view: WorkerView, limit: float | None, now: float
     ) -> None:
-        previous = view.rate_limit
-        if limit == previous:
-            return
-        view.rate_limit = limit
-        self._node.sink.emit(
-            RateLimitChanged(
-                view.entry.id,
-                view.entry.service,
-                limit,
-                previous,
-                view.sent_last_second(now),
-            )
-        )
+        previous = view.rate.limit
+        if view.rate.observe(limit, now):
+            self._workers.report_rate_limit(view, previous, "answer")
 
     def _report_overtaken(
         self, call: ForwardCall, chosen: ChosenWorker, started_at: float
--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -206,6 +206,8 @@
 
     :param limit: requests per second from all instances together; none if it ended.
     :param previous: the limit before.
+    :param source: ``answer`` if this instance observed it, ``peer`` if another one did.
+    :param share: requests per second of it that this instance may send.
     :param sent: requests that this instance sent to it in the last second.
     """
 
@@ -213,6 +215,8 @@
     service: str
     limit: float | None
     previous: float | None
+    source: str
+    share: float
     sent: int
 
 
--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -98,6 +98,7 @@
             directory.limits,
             lambda worker: self._peers.failure_detector.owns(worker, node.clock()),
             node.random,
+            self._workers.shares,
         )
         node.provide(Forwarder, self)
 
@@ -139,6 +140,7 @@
         if quarantine_refusal is not None:
             return Error(quarantine_refusal)
         progress.service = pick_service(route, hash_to_unit_interval("split", call.id))
+        self._workers.demand.record_request(progress.service, self._node.clock())
         timeout_s = DEFAULT_TIMEOUT_S if call.patience_s is None else call.patience_s
         timeout_s = max(MIN_REMAINING_S, timeout_s - CALLER_DEADLINE_MARGIN_S)
         limit_s = (
--- a/packages/gateway/src/sycamorenotch_gateway/_heartbeats.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_heartbeats.py
@@ -16,6 +16,7 @@
 from sycamorenotch_kernel import PeerEntry
 from sycamorenotch_kernel import Resources
 from sycamorenotch_policies import Heartbeat
+from sycamorenotch_policies import RateLimitReport
 from sycamorenotch_policies import Signature
 from sycamorenotch_policies import Strike
 
@@ -28,6 +29,14 @@
 MILLI_PER_UNIT = 1_000
 
 
+def _wire_name(name: str) -> Any:
+    return Field(validation_alias=name, serialization_alias=name)
+
+
+def _optional_wire_name(name: str, default: Any) -> Any:
+    return Field(default, validation_alias=name, serialization_alias=name)
+
+
 class StrikeMessage(BaseModel):
     """The wire form of a strike.
 
@@ -43,6 +52,19 @@
     age_ms: int
 
 
+class RateLimitMessage(BaseModel):
+    """The wire form of a worker's rate limit that an instance observed.
+
+    :param limit: requests per second; none if the worker names no limit.
+    """
+
+    model_config = ConfigDict(extra="ignore", frozen=True, populate_by_name=True)
+
+    worker: str = _wire_name("w")
+    limit: float | None = _wire_name("l")
+    age_ms: int = _wire_name("a")
+
+
 class HeartbeatMessage(BaseModel):
     """The wire form of a heartbeat that describes its instance in full.
 
@@ -66,10 +88,8 @@
     used_processors: float
     used_link_mbps: float
     strikes: tuple[StrikeMessage, ...] = ()
-
-
-def _wire_name(name: str) -> Any:
-    return Field(validation_alias=name, serialization_alias=name)
+    demand: dict[str, float] | None = None
+    limits: tuple[RateLimitMessage, ...] = ()
 
 
 class CompactHeartbeatMessage(BaseModel):
@@ -79,6 +99,7 @@
 
     :param millicores: thousandths of a core in use.
     :param kilobits: bandwidth in use, in kbit/s.
+    :param demand: only while workers name limits, as it divides these.
     """
 
     model_config = ConfigDict(extra="ignore", frozen=True, populate_by_name=True)
@@ -89,6 +110,8 @@
     ready: bool = _wire_name("r")
     millicores: int = _wire_name("c")
     kilobits: int = _wire_name("k")
+    demand: dict[str, float] | None = _optional_wire_name("d", None)
+    limits: tuple[RateLimitMessage, ...] = _optional_wire_name("l", ())
 
 
 @final
@@ -101,11 +124,17 @@
         self._known: OrderedDict[tuple[str, int], Heartbeat] = OrderedDict()
 
     def encode(
-        self, heartbeat: Heartbeat, strikes: tuple[Strike, ...], *, full: bool = False
+        self,
+        heartbeat: Heartbeat,
+        strikes: tuple[Strike, ...],
+        *,
+        full: bool = False,
+        demand: bool = False,
     ) -> bytes:
         """Return the datagram of a heartbeat.
 
         :param full: whether it must describe the instance in full.
+        :param demand: whether it must state the demand.
         """
         regular = (
             heartbeat.sequence > FULL_HEARTBEATS_AT_START
@@ -121,8 +150,12 @@
                 ready=heartbeat.ready,
                 millicores=round(heartbeat.usage.processors * MILLI_PER_UNIT),
                 kilobits=round(heartbeat.usage.link_mbps * MILLI_PER_UNIT),
+                demand=_demand_message(heartbeat) if demand else None,
+                limits=_limit_messages(heartbeat),
             )
-        packed: bytes = msgpack.packb(message.model_dump(by_alias=True))
+        packed: bytes = msgpack.packb(
+            message.model_dump(by_alias=True, exclude_defaults=True)
+        )
         return packed
 
     def decode(self, datagram: bytes) -> tuple[Heartbeat | None, tuple[Strike, ...]]:
@@ -151,7 +184,12 @@
             message.millicores / MILLI_PER_UNIT, message.kilobits / MILLI_PER_UNIT
         )
         return dataclasses.replace(
-            known, sequence=message.sequence, ready=message.ready, usage=usage
+            known,
+            sequence=message.sequence,
+            ready=message.ready,
+            usage=usage,
+            demand=known.demand if message.demand is None else message.demand,
+            limits=tuple(map(_to_limit_report, message.limits)),
         )
 
     def _remember(self, heartbeat: Heartbeat) -> None:
@@ -181,9 +219,31 @@
         used_processors=heartbeat.usage.processors,
         used_link_mbps=heartbeat.usage.link_mbps,
         strikes=tuple(map(_strike_message, strikes)),
+        demand=_demand_message(heartbeat),
+        limits=_limit_messages(heartbeat),
     )
 
 
+def _demand_message(heartbeat: Heartbeat) -> dict[str, float] | None:
+    return None if heartbeat.demand is None else dict(heartbeat.demand)
+
+
+def _limit_messages(heartbeat: Heartbeat) -> tuple[RateLimitMessage, ...]:
+    return tuple(
+        RateLimitMessage(
+            worker=report.worker,
+            limit=report.limit,
+            age_ms=round(report.age_s * MILLI_PER_UNIT),
+        )
+        for report in heartbeat.limits
+    )
+
+
+def _to_limit_report(message: RateLimitMessage) -> RateLimitReport:
+    age_s = max(0, message.age_ms) / MILLI_PER_UNIT
+    return RateLimitReport(message.worker, message.limit, age_s)
+
+
 def _to_heartbeat(message: HeartbeatMessage) -> Heartbeat:
     return Heartbeat(
         PeerEntry(
@@ -199,6 +259,8 @@
         message.ready,
         Resources(message.processors, message.link_mbps),
         Resources(message.used_processors, message.used_link_mbps),
+        message.demand,
+        tuple(map(_to_limit_report, message.limits)),
     )
 
 
--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 from typing import ClassVar
@@ -32,6 +33,8 @@
 # New instances are found by their heartbeats. The entries are read again to find
 # those whose first heartbeats were all lost.
 ENTRIES_REREAD_INTERVAL = timedelta(seconds=15)
+# Keeps a datagram small; the reports take turns.
+MAX_LIMITS_PER_HEARTBEAT = 16
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 3.0
 
@@ -67,6 +70,10 @@
         self._relay.is_alone = lambda: (
             self._entries_read and not self.failure_detector.recipients()
         )
+        self._workers.peer_demands = lambda: (
+            (heartbeat.entry.id, heartbeat.demand)
+            for heartbeat in self.failure_detector.serving(node.clock())
+        )
         self.usage = UsageMeter(node.clock(), node.processor_clock())
         node.provide(Peers, self)
 
@@ -124,7 +131,12 @@
     def _own_heartbeat(self) -> Heartbeat:
         capacity = self._node.settings.resources
         return Heartbeat(
-            self.entry, self._sequence, self.ready, capacity, self.used_resources
+            self.entry,
+            self._sequence,
+            self.ready,
+            capacity,
+            self.used_resources,
+            self._workers.reported_demand,
         )
 
     def broadcast_heartbeat(self) -> None:
@@ -144,6 +156,7 @@
         self._suspicion.merge(strikes)
         if heartbeat is None:
             return
+        self._workers.learn_rate_limits(heartbeat.limits)
         if self.failure_detector.observe(heartbeat, self._node.clock()):
             self._node.sink.emit(PeerJoined(heartbeat.entry.id, self.live_count))
             self._send(self._message(full=True), heartbeat.entry)
@@ -155,6 +168,7 @@
         return timedelta(seconds=self.failure_detector.interval_s)
 
     def _send_heartbeats(self) -> None:
+        self._workers.reported_demand = self._workers.demand.read(self._node.clock())
         message = self._message()
         for entry in self.failure_detector.next_recipients():
             self._send(message, entry)
@@ -162,7 +176,15 @@
     def _message(self, *, full: bool = False) -> bytes:
         self._sequence += 1
         strikes = self._suspicion.strikes()
-        return self._codec.encode(self._own_heartbeat(), strikes, full=full)
+        directory = self._workers.directory
+        now = self._node.clock()
+        limits = directory.rate_limit_reports(now, MAX_LIMITS_PER_HEARTBEAT)
+        return self._codec.encode(
+            replace(self._own_heartbeat(), limits=limits),
+            strikes,
+            full=full,
+            demand=directory.limited_count() > 0,
+        )
 
     def _send(self, message: bytes, entry: PeerEntry) -> None:
         host, _, port = entry.gossip.rpartition(":")
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
 from datetime import timedelta
 from math import inf
 from typing import ClassVar
 from typing import final
 
 from sycamorenotch_gateway._events import EvacuationChanged
+from sycamorenotch_gateway._events import RateLimitChanged
 from sycamorenotch_gateway._events import WorkerChanged
 from sycamorenotch_gateway._events import WorkerEntryIgnored
 from sycamorenotch_gateway._events import WorkerRemoved
@@ -23,6 +27,9 @@
 from sycamorenotch_kernel import WorkerEntry
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_policies import AdaptiveIdleTimeout
+from sycamorenotch_policies import DemandMeter
+from sycamorenotch_policies import RateLimitReport
+from sycamorenotch_policies import RateShares
 from sycamorenotch_policies import WorkerDirectory
 from sycamorenotch_policies import WorkerView
 from sycamorenotch_transport import Http1Pool
@@ -36,6 +43,8 @@
 # Per worker, for each instance.
 MAX_IDLE_CONNECTIONS = 16
 
+PeerDemands = Callable[[], Iterable[tuple[str, Mapping[str, float] | None]]]
+
 
 @gateway_components.register("workers")
 @final
@@ -49,6 +58,15 @@
         self.directory = WorkerDirectory(
             lambda data_centre: node.settings.placement.region_of(data_centre)
         )
+        self.demand = DemandMeter()
+        # Peers sets both; until then this instance is the only one.
+        self.reported_demand: dict[str, float] = {}
+        self.peer_demands: PeerDemands = tuple
+        self.shares = RateShares(
+            node.settings.instance,
+            lambda: self.reported_demand,
+            lambda: self.peer_demands(),
+        )
         self._pools: dict[str, Http1Pool] = {}
         self._idle_timeouts: dict[str, AdaptiveIdleTimeout] = {}
         self._follower = Follower(node, Topic.WORKERS, self._apply_batch)
@@ -99,6 +117,39 @@
         """Remove a worker whose address now belongs to another one."""
         self._remove(view.entry.id, "another worker has its address", 0)
 
+    def learn_rate_limits(self, reports: tuple[RateLimitReport, ...]) -> None:
+        """Record the limits that another instance observed."""
+        now = self._node.clock()
+        for report in reports:
+            view = self.directory.get(report.worker)
+            previous = None if view is None else view.rate.limit
+            if view is not None and self.directory.learn_rate_limit(report, now):
+                self.report_rate_limit(view, previous, "peer")
+
+    def report_rate_limit(
+        self, view: WorkerView, previous: float | None, source: str
+    ) -> None:
+        """Log that a worker's limit has changed.
+
+        :param previous: the limit before.
+        :param source: from where this instance knows it.
+        """
+        now = self._node.clock()
+        rate = view.rate
+        self.shares.update(view.entry.id, view.entry.service, rate, now)
+        share = 0.0 if rate.limit is None else round(rate.allowance.rate, 3)
+        self._node.sink.emit(
+            RateLimitChanged(
+                view.entry.id,
+                view.entry.service,
+                rate.limit,
+                previous,
+                source,
+                share,
+                view.sent_last_second(now),
+            )
+        )
+
     def _apply_configuration(self, configuration: ForwardingConfiguration) -> None:
         self.directory.limits.clear()
         self.directory.limits.update(configuration.services)
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -94,6 +94,11 @@
 from sycamorenotch_policies._quarantine import Strike
 from sycamorenotch_policies._quarantine import sign_request
 from sycamorenotch_policies._quotas import worker_quotas
+from sycamorenotch_policies._rate_limit import RateAllowance
+from sycamorenotch_policies._rate_limit import RateLimitReport
+from sycamorenotch_policies._rate_limit import WorkerRateLimit
+from sycamorenotch_policies._rate_shares import DemandMeter
+from sycamorenotch_policies._rate_shares import RateShares
 from sycamorenotch_policies._rendezvous import neighbours
 from sycamorenotch_policies._rendezvous import successor
 from sycamorenotch_policies._rendezvous import watchers
@@ -107,6 +112,7 @@
 from sycamorenotch_policies._retry import RetryRule
 from sycamorenotch_policies._retry_budget import RetryBudget
 from sycamorenotch_policies._retry_budget import RetryLimits
+from sycamorenotch_policies._return_schedule import ReturnSchedule
 from sycamorenotch_policies._route_table import RouteTable
 from sycamorenotch_policies._route_table import hash_to_unit_interval
 from sycamorenotch_policies._route_table import pick_service
@@ -174,6 +180,7 @@
     "ConnectionBudget",
     "CountRing",
     "Demand",
+    "DemandMeter",
     "DispatchCall",
     "DispatchEnded",
     "FailedAttempt",
@@ -209,6 +216,9 @@
     "Quarantine",
     "Queued",
     "RankedAdmission",
+    "RateAllowance",
+    "RateLimitReport",
+    "RateShares",
     "ReadClaim",
     "ReadLease",
     "RecordedAnswer",
@@ -218,6 +228,7 @@
     "RetryDecision",
     "RetryLimits",
     "RetryRule",
+    "ReturnSchedule",
     "RoundRobin",
     "RouteTable",
     "ShiftLedger",
@@ -236,6 +247,7 @@
     "WindowedCounts",
     "WorkerChoice",
     "WorkerDirectory",
+    "WorkerRateLimit",
     "WorkerReport",
     "WorkerRequest",
     "WorkerState",
--- a/packages/policies/src/sycamorenotch_policies/_liveness.py
+++ b/packages/policies/src/sycamorenotch_policies/_liveness.py
@@ -4,11 +4,13 @@
 
 from collections import deque
 from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import final
 
 from sycamorenotch_kernel import PeerEntry
 from sycamorenotch_kernel import Resources
+from sycamorenotch_policies._rate_limit import RateLimitReport
 from sycamorenotch_policies._route_table import hash_to_unit_interval
 
 # Single datagrams get lost; a loss of so many in a row is rare.
@@ -60,6 +62,9 @@
     :param ready: whether it accepts requests.
     :param capacity: processors and link rate that it may use of its machine.
     :param usage: processors and link rate that it uses, as a moving average.
+    :param demand: requests per second that callers send it, by service; none if it
+        does not report them.
+    :param limits: rate limits of workers that it observed lately.
     """
 
     entry: PeerEntry
@@ -67,6 +72,8 @@
     ready: bool
     capacity: Resources = DEFAULT_RESOURCES
     usage: Resources = NO_USAGE
+    demand: Mapping[str, float] | None = None
+    limits: tuple[RateLimitReport, ...] = ()
 
 
 @final
--- a/packages/policies/src/sycamorenotch_policies/_worker_choice.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_choice.py
@@ -13,6 +13,8 @@
 from sycamorenotch_kernel import RequestKind
 from sycamorenotch_kernel import ServiceLimits
 from sycamorenotch_kernel import worker_choices
+from sycamorenotch_policies._rate_shares import RateShares
+from sycamorenotch_policies._return_schedule import ReturnSchedule
 from sycamorenotch_policies._route_table import hash_to_unit_interval
 from sycamorenotch_policies._worker_directory import WorkerView
 
@@ -100,6 +102,8 @@
     :param may_warm_up: returns whether this instance is the one that sends
         requests to a cold worker.
     :param random: spreads requests that have no object key.
+    :param shares: divides the rate limits of workers among the instances; without it,
+        this instance is the only one.
     """
 
     def __init__(
@@ -108,11 +112,14 @@
         limits: dict[str, ServiceLimits],
         may_warm_up: MayWarmUp,
         random: Random,
+        shares: RateShares | None = None,
     ) -> None:
         self._region = region
         self._limits = limits
         self._may_warm_up = may_warm_up
         self._random = random
+        self._shares = shares or RateShares("", dict, tuple)
+        self._returns = ReturnSchedule()
 
     def choose(
         self, request: WorkerRequest, views: tuple[WorkerView, ...], now: float
@@ -122,17 +129,16 @@
         :param now: monotonic time in seconds.
         """
         homes = request.route.homes
-        allowed = [
+        candidates = [
             view
             for view in views
             if view.entry.id not in request.tried
             and (not homes or view.region in homes)
-            and self._accepts_more(view, now)
+            and self._is_warm_enough(view, now)
         ]
+        allowed = [view for view in candidates if self._is_within_share(view, now)]
         if not allowed:
-            return NoCapacity(
-                "no worker of the service can accept the request", MIN_RETRY_AFTER_S
-            )
+            return self._refusal(request, candidates, now)
         responsive = [view for view in allowed if now < view.unresponsive_from()]
         owners = self._owners(request, responsive or allowed, now)
         for index, view in enumerate(owners):
@@ -144,7 +150,35 @@
         wait = excess * (first.latency_s or DEFAULT_LATENCY_S)
         return NoCapacity("every owner has a long queue", max(MIN_RETRY_AFTER_S, wait))
 
-    def _accepts_more(self, view: WorkerView, now: float) -> bool:
+    def _refusal(
+        self, request: WorkerRequest, candidates: list[WorkerView], now: float
+    ) -> NoCapacity:
+        """Refuse a request that no worker can accept.
+
+        :param candidates: workers that only their rate limits exclude.
+        """
+        if not candidates:
+            return NoCapacity(
+                "no worker of the service can accept the request", MIN_RETRY_AFTER_S
+            )
+        allowances = [view.rate.allowance for view in candidates]
+        wait_s = min(allowance.wait_s(now) for allowance in allowances)
+        rate = sum(allowance.rate for allowance in allowances)
+        return NoCapacity(
+            "every worker has had its share of requests",
+            max(
+                MIN_RETRY_AFTER_S,
+                self._returns.next_s(request.route.priority, wait_s, rate, now),
+            ),
+        )
+
+    def _is_within_share(self, view: WorkerView, now: float) -> bool:
+        if view.rate.limit is None:
+            return True
+        self._shares.update(view.entry.id, view.entry.service, view.rate, now)
+        return view.rate.allowance.is_available(now)
+
+    def _is_warm_enough(self, view: WorkerView, now: float) -> bool:
         if now >= view.cold_until:
             return True
         limits = self._limits.get(view.entry.service)
--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -8,6 +8,7 @@
 from dataclasses import field
 from enum import Enum
 from enum import unique
+from heapq import nsmallest
 from itertools import islice
 from math import inf
 from typing import final
@@ -17,6 +18,8 @@
 from sycamorenotch_kernel import WorkerEntry
 from sycamorenotch_policies._overdue import MIN_WAIT_S
 from sycamorenotch_policies._overdue import LatencyEstimate
+from sycamorenotch_policies._rate_limit import RateLimitReport
+from sycamorenotch_policies._rate_limit import WorkerRateLimit
 from sycamorenotch_policies._service_load import ServiceLoad
 
 # A load report is stale after the service time of a few requests.
@@ -70,8 +73,7 @@
     :param estimate: latency of the answers of all workers of the service.
     :param service_load: mean load of all workers of the service.
     :param failed_at: time of the last failure.
-    :param rate_limit: requests per second that the worker takes from all instances
-        together; none if it names no limit.
+    :param rate: limit that the worker names on the requests of all instances.
     :param latency_s: moving average of the latency of regular answers.
     :param last_answer_at: time of the last answer to this instance.
     :param sent: send times of the requests of the last second.
@@ -92,7 +94,7 @@
     cold_until: float = -1e9
     cold_cause: ColdCause = ColdCause.REPORTED
     missing_until: float | None = None
-    rate_limit: float | None = None
+    rate: WorkerRateLimit = field(default_factory=WorkerRateLimit)
     latency_s: float | None = None
     last_answer_at: float = -1e9
     sent: deque[float] = field(default_factory=deque)
@@ -124,10 +126,13 @@
         """Return the estimated number of requests at the worker, running and queued.
 
         As the last load report ages, the share of other instances goes over to the
-        mean of the service.
+        mean of the service, or to what the worker's own rate limit lets in.
         """
         weight = max(0.0, 1.0 - (now - self.reported_at) / REPORT_LIFETIME_S)
         expected = self.service_load.per_slot(now) * self.entry.slots
+        if self.rate.limit is not None:
+            latency_s = self.latency_s or self.estimate.tail_s or 0.0
+            expected = min(expected, self.rate.limit * latency_s)
         others = max(0.0, expected - self.in_flight)
         return self.in_flight + weight * self.others_in_flight + (1.0 - weight) * others
 
@@ -142,6 +147,8 @@
 
     def record_start(self, now: float) -> None:
         """Record that a request is sent."""
+        if self.rate.limit is not None:
+            self.rate.allowance.take(now)
         self.in_flight_since.append(now)
         self.sent.append(now)
         while self.sent and self.sent[0] <= now - 1.0:
@@ -270,6 +277,11 @@
                 )
                 for cause in ColdCause
             },
+            "have had their share of requests": sum(
+                view.rate.limit is not None
+                and not view.rate.allowance.is_available(now)
+                for view in views
+            ),
             "are unresponsive": sum(now >= view.unresponsive_from() for view in views),
         }
         parts = [f"{count} {what}" for what, count in counts.items() if count]
@@ -333,7 +345,21 @@
 
     def limited_count(self) -> int:
         """Return the number of workers that name a limit on their requests."""
-        return sum(view.rate_limit is not None for view in self._views.values())
+        return sum(view.rate.limit is not None for view in self._views.values())
+
+    def learn_rate_limit(self, report: RateLimitReport, now: float) -> bool:
+        """Record what another instance observed; return whether it is new."""
+        view = self._views.get(report.worker)
+        return view is not None and view.rate.learn(report.limit, now - report.age_s)
+
+    def rate_limit_reports(self, now: float, most: int) -> tuple[RateLimitReport, ...]:
+        """Return recent own observations of limits, latest changes first, in turns.
+
+        :param most: largest number of reports.
+        """
+        recent = (view for view in self._views.values() if view.rate.is_recent(now))
+        due = nsmallest(most, recent, key=lambda view: view.rate.turn(now))
+        return tuple(view.rate.report(view.entry.id, now) for view in due)
 
     def names(self) -> frozenset[str]:
         """Return the identifiers of all workers."""
@@ -368,6 +394,8 @@
     ) -> WorkerView:
         view = self._new_view(entry, now)
         view.in_flight_since = old.in_flight_since
+        # What others observed before concerns the former start.
+        view.rate.observed_at = now
         cold_s = entry.cold_s or self.cold_s(entry.service)
         view.cold_until = now + cold_s
         return view
--- a/testing/architecture/test_layering.py
+++ b/testing/architecture/test_layering.py
@@ -33,6 +33,7 @@
 PLATFORM_NAMES = (
     *("x-attempt-id", "x-expected-instance", "x-remaining-milliseconds"),
     *("x-response-signature", "x-not-executed", "x-server-load", "x-affinity-key"),
+    "server-limit",
     *("x-cold-milliseconds", "x-instance-id", "api/objects", "api/resolution"),
     *("api/readiness", "path_prefix", "traffic_split", "cold_remaining"),
     *("sticky_sessions", "home_regions", "resource_kind", "max_attempts"),
--- a/testing/gateway/test_heartbeats.py
+++ b/testing/gateway/test_heartbeats.py
@@ -14,6 +14,7 @@
 from sycamorenotch_kernel import PeerEntry
 from sycamorenotch_kernel import Resources
 from sycamorenotch_policies import Heartbeat
+from sycamorenotch_policies import RateLimitReport
 from sycamorenotch_policies import Signature
 from sycamorenotch_policies import Strike
 
@@ -104,3 +105,35 @@
 def test_malformed_datagram_is_an_error(receiver, datagram) -> None:
     with pytest.raises(ValueError):
         receiver.decode(datagram)
+
+
+REPORTS = (RateLimitReport("i-1", 7.5, 0.25), RateLimitReport("i-2", None, 2.0))
+
+
+@pytest.mark.parametrize("sequence", [1, REGULAR])
+def test_rate_limits_and_demand_are_in_every_kind_of_heartbeat(
+    sender, receiver, sequence
+) -> None:
+    receiver.decode(sender.encode(heartbeat(1), ()))
+    sent = dataclasses.replace(
+        heartbeat(sequence + 1), demand={"s": 3.5}, limits=REPORTS
+    )
+    found, _ = receiver.decode(sender.encode(sent, (), demand=True))
+    assert (found.demand, found.limits) == (sent.demand, sent.limits)
+
+
+def test_compact_heartbeat_keeps_the_demand_of_the_last_full_one(
+    sender, receiver
+) -> None:
+    described = dataclasses.replace(heartbeat(1), demand={"s": 3.5})
+    receiver.decode(sender.encode(described, ()))
+    found, _ = receiver.decode(sender.encode(heartbeat(), ()))
+    assert found.demand == {"s": 3.5}
+    assert found.limits == ()
+
+
+# An instance that is not yet replaced knows neither demand nor limits.
+def test_heartbeat_without_demand_is_read(sender, receiver) -> None:
+    message = msgpack.unpackb(sender.encode(heartbeat(1), ()))
+    assert not {"demand", "limits"} & message.keys()
+    assert receiver.decode(msgpack.packb(message))[0] == heartbeat(1)
--- a/testing/platform/test_rate_limit.py
+++ b/testing/platform/test_rate_limit.py
@@ -35,6 +35,8 @@
         for limit in ("80", "80", "40", "", ""):
             worker.rate_limit = limit
             assert (await site.call()).status == 200
+            # Longer than a worker that takes 40 a second makes its only sender wait.
+            await deferLater(reactor, 0.05, lambda: None)
         changes = site.events("worker.rate-limit-changed")
         assert [(change.previous, change.limit) for change in changes] == [
             (None, 80.0),
--- a/testing/policies/test_worker_choice.py
+++ b/testing/policies/test_worker_choice.py
@@ -220,3 +220,45 @@
     first.view.record_start(10.0)
     first.view.record_end(10.0)
     assert choose(directory, now=100.0).view is first.view
+
+
+def limit_rate(directory, name: str, limit: float, at: float = 10.0) -> None:
+    """Let a worker name a limit; there is room for a request once it has accrued."""
+    rate = directory.get(name).rate
+    rate.observe(limit, at)
+    rate.allowance.set_rate(limit, at)
+
+
+# Instances that ignored the limit went on sending as before.
+def test_worker_that_had_its_share_is_left_to_others(directory) -> None:
+    owner = choose(directory).view
+    limit_rate(directory, owner.entry.id, 1.0)
+    assert choose(directory, now=10.5).view is not owner
+    assert choose(directory, now=11.0).view is owner
+
+
+def test_sent_requests_use_up_the_share_of_a_worker(directory) -> None:
+    owner = choose(directory).view
+    limit_rate(directory, owner.entry.id, 1.0)
+    owner.record_start(11.0)
+    assert choose(directory, now=11.5).view is not owner
+    assert choose(directory, now=12.0).view is owner
+
+
+def test_request_is_refused_at_once_when_every_worker_had_its_share(directory) -> None:
+    for name in directory.names():
+        limit_rate(directory, name, 0.5)
+    refusals = [choose(directory) for _ in range(2)]
+    assert all(isinstance(refusal, NoCapacity) for refusal in refusals)
+    assert "share" in refusals[0].reason
+    assert refusals[0].retry_after_s == pytest.approx(2.0)
+
+
+def test_load_of_an_unheard_worker_is_bounded_by_its_limit(directory) -> None:
+    view = directory.get("a0")
+    limit_rate(directory, "a0", 2.0)
+    view.record_success(0.5)
+    busy = LoadReport(SLOTS, SLOTS * 2, SLOTS)
+    directory.get("a1").observe_load(busy, 10.0)
+    assert view.load(10.0) == pytest.approx(1.0)
+    assert directory.get("a2").load(10.0) > SLOTS / 2
