Warm up cold workers whose rate is below one request a second

What workers saw: a cold worker that bears less than one request a second got none and was never warmed up by requests.

Below one a second, the interval between two requests counts now.

Evidence: the new test failed before.

--- a/packages/policies/src/sycamorenotch_policies/_worker_choice.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_choice.py
@@ -185,7 +185,7 @@
         rate = 1.0 if limits is None or limits.cold_rate <= 0 else limits.cold_rate
         if not self._may_warm_up(view.entry.id):
             return False
-        return view.sent_last_second(now) + 1 <= rate
+        return view.has_room_at(rate, now)
 
     def _owners(
         self, request: WorkerRequest, views: list[WorkerView], now: float
--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -76,6 +76,7 @@
     :param rate: limit that the worker names on the requests of all instances.
     :param latency_s: moving average of the latency of regular answers.
     :param last_answer_at: time of the last answer to this instance.
+    :param last_sent_at: time of the last request of this instance.
     :param sent: send times of the requests of the last second.
     :param in_flight_since: send times of the requests in flight.
     """
@@ -97,6 +98,7 @@
     rate: WorkerRateLimit = field(default_factory=WorkerRateLimit)
     latency_s: float | None = None
     last_answer_at: float = -1e9
+    last_sent_at: float = -1e9
     sent: deque[float] = field(default_factory=deque)
     in_flight_since: list[float] = field(default_factory=list)
 
@@ -151,6 +153,7 @@
             self.rate.allowance.take(now)
         self.in_flight_since.append(now)
         self.sent.append(now)
+        self.last_sent_at = now
         while self.sent and self.sent[0] <= now - 1.0:
             self.sent.popleft()
 
@@ -165,6 +168,15 @@
         """Return the number of requests that this instance sent in the last second."""
         return sum(1 for sent_at in self.sent if sent_at > now - 1.0)
 
+    def has_room_at(self, rate: float, now: float) -> bool:
+        """Return whether one more request keeps to a rate.
+
+        :param rate: requests per second that this instance may send.
+        """
+        if rate >= 1.0:
+            return self.sent_last_second(now) + 1 <= rate
+        return now - self.last_sent_at >= 1.0 / rate
+
     def record_success(self, latency_s: float) -> None:
         """Record a regular answer of the worker.
 
--- a/testing/policies/test_worker_choice.py
+++ b/testing/policies/test_worker_choice.py
@@ -262,3 +262,14 @@
     directory.get("a1").observe_load(busy, 10.0)
     assert view.load(10.0) == pytest.approx(1.0)
     assert directory.get("a2").load(10.0) > SLOTS / 2
+
+
+# A cold worker whose rate is below one request a second got none, and stayed cold.
+def test_cold_worker_gets_requests_at_a_rate_below_one_a_second(directory) -> None:
+    directory.limits["s"] = ServiceLimits("s", cold_s=30.0, cold_rate=0.5)
+    for name in directory.names():
+        directory.put(entry(name, name[0], cold_s=30.0), 10.0)
+    first = choose(directory).view
+    first.record_start(10.0)
+    assert choose(directory, now=11.9).view is not first
+    assert choose(directory, now=12.1).view is first
