--- a/testing/policies/test_worker_choice.py
+++ b/testing/policies/test_worker_choice.py
@@ -271,5 +271,6 @@
         directory.put(entry(name, name[0], cold_s=30.0), 10.0)
     first = choose(directory).view
     first.record_start(10.0)
+    first.record_end(10.0)
     assert choose(directory, now=11.9).view is not first
     assert choose(directory, now=12.1).view is first
