Keep a rate limit when the worker sheds a request

Cause: the worker answered one request with 503, not run, and named no limit with it. The instance took that for the end of the limit and told the others; the logs of the three gateways show the end 3.3 s after the limit began, at all of them within 20 ms.

Change: only an answer to a request that ran ends a limit; a shed request may set one.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -38,8 +38,9 @@
 DEADLINE_GRACE_S = 0.1
 
 
-# Verdicts on answers that the worker itself wrote, so that they state its limit.
-OWN_VERDICTS = frozenset({Verdict.ANSWER, Verdict.FAULT, Verdict.NOT_RUN})
+# Verdicts on answers to requests that the worker ran. What it writes in place of an
+# answer may leave its limit out.
+RAN_VERDICTS = frozenset({Verdict.ANSWER, Verdict.FAULT})
 
 
 @final
@@ -113,7 +114,7 @@
         reply = outcome.reply
         if reply is not None and reply.load is not None:
             view.observe_load(reply.load, now)
-        if reply is not None and reply.verdict in OWN_VERDICTS:
+        if reply is not None and _states_rate_limit(reply):
             self._record_rate_limit(view, reply.rate_limit, now)
         if reply is not None:
             view.last_answer_at = now
@@ -309,6 +310,13 @@
             self._timer.cancel()
 
 
+def _states_rate_limit(reply: WorkerReply) -> bool:
+    """Return whether an answer says which limit the worker has, if any."""
+    if reply.verdict in RAN_VERDICTS:
+        return True
+    return reply.verdict is Verdict.NOT_RUN and reply.rate_limit is not None
+
+
 def _classify(reply: WorkerReply) -> AttemptOutcome:
     match reply.verdict:
         case Verdict.ANSWER | Verdict.FAULT:
--- a/testing/platform/test_rate_limit.py
+++ b/testing/platform/test_rate_limit.py
@@ -47,6 +47,23 @@
     run_on_site(scenario, count=1)
 
 
+# A worker that sheds a request names no limit with it; taken for the end of its limit,
+# that let all instances send again.
+def test_shed_request_does_not_end_a_rate_limit(run_on_site) -> None:
+    async def scenario(site) -> None:
+        (worker,) = site.workers
+        worker.rate_limit = "20"
+        await site.call()
+        worker.mode = "shed"
+        await deferLater(reactor, 0.1, lambda: None)
+        assert (await site.call()).status == 503
+        assert len(worker.requests) == 2
+        (change,) = site.events("worker.rate-limit-changed")
+        assert change.limit == 20.0
+
+    run_on_site(scenario, count=1)
+
+
 class Fleet:
     """Gateways on one store, each with callers that send at a steady rate."""
 
