Let workers of the fault soak name rate limits

After the faults on processes have ended, workers name limits between 0.5 and 8 requests a second in three periods of five seconds, beside changes of the configuration and workers that fail. Arrivals at each worker are checked against the users' rule.

--- a/testing/platform/fault_soak.py
+++ b/testing/platform/fault_soak.py
@@ -55,6 +55,14 @@
 # Every gateway must serve again within this time after the faults have ended.
 MAX_RECOVERY_S = 15.0
 RESTART_DELAY_S = 0.3
+# Limits, in requests per second, that workers name after the faults; none for one that
+# has ended. The users' rule: one and a half times the limit and five requests in four
+# seconds, of gateways that were told half a second before.
+RATE_LIMITS = ("", "0.5", "1", "3", "8")
+LIMIT_PERIODS = 3
+LIMIT_PERIOD_S = 5.0
+WINDOW_S = 4.0
+LEARNING_S = 1.0
 WORKER_MODES = ("shed", "fail", "cut", "silent")
 
 
@@ -299,6 +307,35 @@
         else:
             self.store.put("evacuations", "a", {})
 
+    # Rate limits
+
+    async def limit_rates(self) -> None:
+        """Let workers name limits that change, beside changes of configuration."""
+        for _ in range(LIMIT_PERIODS):
+            begun = reactor.seconds()
+            limited = [worker for worker in self.workers if self.random.random() < 0.7]
+            for worker in self.workers:
+                limits = RATE_LIMITS if worker in limited else ("",)
+                worker.rate_limit = self.random.choice(limits)
+            await deferLater(reactor, LIMIT_PERIOD_S / 2, self.change_configuration)
+            await deferLater(reactor, LIMIT_PERIOD_S / 2, self.break_worker)
+            for worker in self.workers:
+                self.check_rate(worker, begun + LEARNING_S)
+
+    def check_rate(self, worker: BusyWorker, since: float) -> None:
+        if not worker.rate_limit:
+            return
+        allowed = 1.5 * float(worker.rate_limit) * WINDOW_S + 5
+        arrivals = [at for at in worker.arrivals if at >= since]
+        for first in arrivals:
+            count = sum(first <= at < first + WINDOW_S for at in arrivals)
+            if count > allowed:
+                limit = worker.rate_limit
+                self.problems.append(
+                    f"{worker.name}: {count} requests in 4 s at a limit of {limit}"
+                )
+                break
+
     # The run
 
     async def run(self, seconds: float) -> None:
@@ -309,6 +346,9 @@
         await self.inject(seconds)
         self.clear_faults()
         await deferLater(reactor, 3.0, lambda: None)
+        await self.limit_rates()
+        for worker in self.workers:
+            worker.rate_limit, worker.mode = "", "run"
         self.finished = True
         await gatherResults(callers, consumeErrors=True)
         await self.wait_until_served()
