--- a/testing/platform/test_rate_limit.py
+++ b/testing/platform/test_rate_limit.py
@@ -157,3 +157,26 @@
         assert other.arrivals
 
     run_fleet(scenario)
+
+
+# An instance without a share sends the worker nothing, so that no answer shows it the
+# end of the limit.
+def test_end_of_a_rate_limit_reaches_instances_without_a_share(run_fleet) -> None:
+    async def scenario(fleet) -> None:
+        limited, _ = fleet.workers
+        limited.rate_limit = "0.5"
+        await fleet.call_for(LEARNING_S)
+        limited.rate_limit = ""
+        await fleet.call_for(2 * WINDOW_S)
+        for gateway in fleet.gateways:
+            changes = [
+                event.limit
+                for event in gateway.node.sink.events
+                if event.name == "worker.rate-limit-changed"
+            ]
+            assert changes == [0.5, None]
+        limited.arrivals.clear()
+        await fleet.call_for(1.0)
+        assert len(limited.arrivals) > INSTANCES
+
+    run_fleet(scenario)
