--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -132,11 +132,11 @@
 from sycamorenotch_policies._worker_choice import WorkerChoice
 from sycamorenotch_policies._worker_choice import WorkerRequest
 from sycamorenotch_policies._worker_directory import WorkerDirectory
-from sycamorenotch_policies._worker_directory import WorkerView
 from sycamorenotch_policies._worker_state import LoadReport
 from sycamorenotch_policies._worker_state import WorkerState
 from sycamorenotch_policies._worker_table import ChoiceSetup
 from sycamorenotch_policies._worker_table import WorkerTable
+from sycamorenotch_policies._worker_view import WorkerView
 
 __all__ = [
     "BODY_LIMIT_BYTES",
--- a/packages/policies/src/sycamorenotch_policies/_worker_choice.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_choice.py
@@ -16,7 +16,7 @@
 from sycamorenotch_policies._rate_shares import RateShares
 from sycamorenotch_policies._return_schedule import ReturnSchedule
 from sycamorenotch_policies._route_table import hash_to_unit_interval
-from sycamorenotch_policies._worker_directory import WorkerView
+from sycamorenotch_policies._worker_view import WorkerView
 
 # Requests per slot, above which a request would be too late at most workers.
 MAX_LOAD_PER_SLOT = 1.5
