Pass on the end of a limit that only other instances observed

What a worker saw: nothing wrong, but fewer requests than it takes: an instance that knew a limit from its peers only, and then got an answer without one, told nobody, so that others kept the limit until one that had observed it itself saw the end.

Cause: found by reading. An observation was passed on only if the instance had observed a limit itself before. Now a known limit counts, whoever observed it.

Evidence: the new test failed before and passes.

--- a/packages/policies/src/sycamorenotch_policies/_rate_limit.py
+++ b/packages/policies/src/sycamorenotch_policies/_rate_limit.py
@@ -106,10 +106,12 @@
 
     def observe(self, limit: float | None, now: float) -> bool:
         """Record what an answer to this instance says; return whether it is new."""
-        if limit is not None or self._own_limit is not None:
+        if limit != self.limit or limit != self._own_limit:
+            self.changed_at = now
+        # The end of a limit that only others observed is passed on too.
+        if limit is not None or self._own_limit is not None or self.limit is not None:
             self.own_observed_at = now
-        if limit != self._own_limit:
-            self._own_limit, self.changed_at = limit, now
+        self._own_limit = limit
         return self.learn(limit, now)
 
     def learn(self, limit: float | None, observed_at: float) -> bool:
--- a/testing/policies/test_rate_shares.py
+++ b/testing/policies/test_rate_shares.py
@@ -198,6 +198,15 @@
     assert not rate.is_recent(30.0)
 
 
+# Its holder saw the end of a limit that it knew from others only, and kept it to itself.
+def test_end_of_a_limit_that_others_observed_is_passed_on() -> None:
+    rate = WorkerRateLimit()
+    rate.learn(5.0, 10.0)
+    assert rate.observe(None, 11.0)
+    assert rate.is_recent(12.0)
+    assert rate.report(WORKER, 12.0) == RateLimitReport(WORKER, None, 1.0)
+
+
 def test_allowance_waits_forever_at_rate_zero() -> None:
     allowance = RateAllowance()
     assert allowance.wait_s(5.0) == inf
