Read heartbeats with all that they may carry

What an operator would have seen: instances that lose each other while requests crash workers and workers name limits at the same time.

Cause: found by reading. A full heartbeat with twelve strikes and sixteen limits has 2,760 bytes, peers read 2,048, and what is cut off cannot be decoded. The demand of a heartbeat had no bound at all and kept services that are gone.

Change: peers read 4,096 bytes; a heartbeat states the demand of the 16 busiest services.

Evidence: test_largest_heartbeat_fits_into_what_peers_read failed at 2,048 and passes.

--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -28,8 +28,8 @@
 from sycamorenotch_policies import Liveness
 from sycamorenotch_policies import UsageMeter
 
-# Largest datagram that is read; a heartbeat is far smaller.
-MAX_DATAGRAM_BYTES = 2_048
+# Largest datagram that is read: more than a heartbeat with all that it may carry.
+MAX_DATAGRAM_BYTES = 4_096
 # New instances are found by their heartbeats. The entries are read again to find
 # those whose first heartbeats were all lost.
 ENTRIES_REREAD_INTERVAL = timedelta(seconds=15)
--- a/packages/policies/src/sycamorenotch_policies/_rate_shares.py
+++ b/packages/policies/src/sycamorenotch_policies/_rate_shares.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from heapq import nlargest
 from heapq import nsmallest
 from math import exp
 from math import log
@@ -20,6 +21,8 @@
 DEMAND_SMOOTHING_S = 2.0
 # Requests per second of an instance that got none lately, so that it can start.
 MIN_DEMAND = 0.1
+# Bounds what a heartbeat states; the demand for other services counts as the least.
+MAX_SERVICES = 16
 # A worker that names a lower limit still gets a request at times, as only an answer
 # shows that the limit has ended.
 MIN_LIMIT = 0.1
@@ -54,7 +57,7 @@
         self._counts.setdefault(service, _Count(read_at=now)).requests += 1
 
     def read(self, now: float) -> dict[str, float]:
-        """Return the requests per second of each service.
+        """Return the requests per second of the busiest services.
 
         :param now: monotonic time in seconds.
         """
@@ -65,7 +68,14 @@
             gain = 1.0 - exp(-elapsed / DEMAND_SMOOTHING_S)
             count.average += gain * (count.requests / elapsed - count.average)
             count.requests, count.read_at = 0, now
-        return {name: round(count.average, 1) for name, count in self._counts.items()}
+        rates = {name: round(count.average, 1) for name, count in self._counts.items()}
+        self._counts = {
+            name: count
+            for name, count in self._counts.items()
+            if rates[name] > 0 or count.requests
+        }
+        busiest = nlargest(MAX_SERVICES, rates, key=rates.__getitem__)
+        return {name: rates[name] for name in busiest if rates[name] > 0}
 
 
 @final
--- a/testing/gateway/test_heartbeats.py
+++ b/testing/gateway/test_heartbeats.py
@@ -11,12 +11,17 @@
 from sycamorenotch_gateway._heartbeats import FULL_HEARTBEAT_EVERY
 from sycamorenotch_gateway._heartbeats import FULL_HEARTBEATS_AT_START
 from sycamorenotch_gateway._heartbeats import HeartbeatCodec
+from sycamorenotch_gateway._peers import MAX_DATAGRAM_BYTES
+from sycamorenotch_gateway._peers import MAX_LIMITS_PER_HEARTBEAT
+from sycamorenotch_gateway._suspicion import MAX_STRIKES_PER_HEARTBEAT
 from sycamorenotch_kernel import PeerEntry
 from sycamorenotch_kernel import Resources
 from sycamorenotch_policies import Heartbeat
 from sycamorenotch_policies import RateLimitReport
 from sycamorenotch_policies import Signature
 from sycamorenotch_policies import Strike
+from sycamorenotch_policies import sign_request
+from sycamorenotch_policies._rate_shares import MAX_SERVICES
 
 ENTRY = PeerEntry("a-1", "west", "a", "10.0.0.1:80", "10.0.0.1:90", 1_700_000_000_000)
 REGULAR = FULL_HEARTBEAT_EVERY * FULL_HEARTBEATS_AT_START + 1
@@ -137,3 +142,28 @@
     message = msgpack.unpackb(sender.encode(heartbeat(1), ()))
     assert not {"demand", "limits"} & message.keys()
     assert receiver.decode(msgpack.packb(message))[0] == heartbeat(1)
+
+
+# Peers cut off a longer datagram, cannot read it, and take its sender for dead.
+def test_largest_heartbeat_fits_into_what_peers_read(sender) -> None:
+    largest = Heartbeat(
+        PeerEntry(
+            "frontend-torrelavega-a-123",
+            "viti-central",
+            "torrelavega-a",
+            "10.100.100.100:65000",
+            "10.100.100.100:65001",
+            1_700_000_000_000,
+        ),
+        1_000_000,
+        True,
+        Resources(2.123456, 1000.123456),
+        Resources(1.123456, 999.123456),
+        {f"service-with-a-long-name-{n}": 123.4 for n in range(MAX_SERVICES)},
+        (RateLimitReport("i-eb5e43d719", 12.345, 9.999),) * MAX_LIMITS_PER_HEARTBEAT,
+    )
+    origin = "frontend-torrelavega-a-123/1700000000000"
+    signature = sign_request("h", "GET", "/", b"")
+    strike = Strike(signature, "i-eb5e43d719", origin, 9_999, timedelta(seconds=299))
+    strikes = (strike,) * MAX_STRIKES_PER_HEARTBEAT
+    assert len(sender.encode(largest, strikes, full=True)) <= MAX_DATAGRAM_BYTES
--- a/testing/policies/test_rate_shares.py
+++ b/testing/policies/test_rate_shares.py
@@ -198,7 +198,7 @@
     assert not rate.is_recent(30.0)
 
 
-# Its holder saw the end of a limit that it knew from others only, and kept it to itself.
+# An instance kept to itself the end of a limit that it knew from others only.
 def test_end_of_a_limit_that_others_observed_is_passed_on() -> None:
     rate = WorkerRateLimit()
     rate.learn(5.0, 10.0)
@@ -225,7 +225,15 @@
             demand = meter.read(now)
     assert demand["a"] == pytest.approx(10.0, rel=0.2)
     assert demand["b"] == pytest.approx(1.0, rel=0.3)
-    assert meter.read(30.0)["a"] < 0.1
+    assert meter.read(30.0) == {}
+
+
+def test_demand_names_the_busiest_services_only() -> None:
+    meter = DemandMeter()
+    for number in range(100):
+        for _ in range(number):
+            meter.record_request(f"s-{number}", 0.0)
+    assert set(meter.read(1.0)) == {f"s-{number}" for number in range(84, 100)}
 
 
 def test_callers_return_one_by_one_and_higher_ranks_first() -> None:
