Count requests of gateways that were told in the soak's check of limits

The logs show that the three gateways learned the limit 1.5 s after it began, as answers came late, having sent 32, 29 and 35 requests in the second before. The rule counts a gateway from half a second after it has passed on an answer with the limit; the check assumed one second for all.

The check now knows from which gateway each request came and when that one passed on the limit. It is the users' rule itself; the bound is the same.

--- a/testing/platform/fault_soak.py
+++ b/testing/platform/fault_soak.py
@@ -62,7 +62,7 @@
 LIMIT_PERIODS = 3
 LIMIT_PERIOD_S = 5.0
 WINDOW_S = 4.0
-LEARNING_S = 1.0
+LEARNING_S = 0.5
 WORKER_MODES = ("shed", "fail", "cut", "silent")
 
 
@@ -133,6 +133,9 @@
     outcomes: Counter[str] = field(default_factory=Counter)
     faults: Counter[str] = field(default_factory=Counter)
     refused: dict[str, int] = field(default_factory=dict)
+    # Gateway of each attempt, and when one first passed on a worker's present limit.
+    gateway_of: dict[str, str] = field(default_factory=dict)
+    told_at: dict[tuple[str, str], float] = field(default_factory=dict)
     problems: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -172,9 +175,10 @@
 
     # Callers
 
-    async def call(self, pool: Http1Pool) -> None:
+    async def call(self, pool: Http1Pool, gateway: str) -> None:
         self.sent += 1
         attempt = f"t{self.sent}"
+        self.gateway_of[attempt] = gateway
         path, kind = self.random.choice(list(ROUTES.items()))
         headers = (
             ("Host", "h"),
@@ -195,6 +199,7 @@
             self.outcomes["no answer"] += 1
             return
         self.outcomes[str(response.status)] += 1
+        self.note_rate_limit(gateway, response)
         self.check_answer(attempt, kind, response)
 
     def check_answer(self, attempt: str, kind: str, response: HttpResponse) -> None:
@@ -231,11 +236,12 @@
 
     async def caller(self) -> None:
         while not self.finished:
-            pool = Http1Pool(reactor, self.random.choice(self.callers), reactor.seconds)
+            gateway = self.random.choice(self.callers)
+            pool = Http1Pool(reactor, gateway, reactor.seconds)
             for _ in range(self.random.randrange(1, 30)):
                 if self.finished:
                     break
-                await self.call(pool)
+                await self.call(pool, gateway)
                 await deferLater(reactor, self.random.uniform(0.0, 0.05), lambda: None)
             pool.close()
 
@@ -312,7 +318,7 @@
     async def limit_rates(self) -> None:
         """Let workers name limits that change, beside changes of configuration."""
         for _ in range(LIMIT_PERIODS):
-            begun = reactor.seconds()
+            self.told_at.clear()
             limited = [worker for worker in self.workers if self.random.random() < 0.7]
             for worker in self.workers:
                 limits = RATE_LIMITS if worker in limited else ("",)
@@ -320,13 +326,29 @@
             await deferLater(reactor, LIMIT_PERIOD_S / 2, self.change_configuration)
             await deferLater(reactor, LIMIT_PERIOD_S / 2, self.break_worker)
             for worker in self.workers:
-                self.check_rate(worker, begun + LEARNING_S)
+                self.check_rate(worker)
 
-    def check_rate(self, worker: BusyWorker, since: float) -> None:
+    def note_rate_limit(self, gateway: str, response: HttpResponse) -> None:
+        worker = get_header(response.headers, "x-response-signature").partition(".")[0]
+        limits = {item.name: item.rate_limit for item in self.workers}
+        named = get_header(response.headers, "server-limit")
+        if named and named == limits.get(worker):
+            self.told_at.setdefault((worker, gateway), reactor.seconds())
+
+    def was_told(self, worker: str, request: HttpRequest, at: float) -> bool:
+        attempt = get_header(request.headers, "x-attempt-id")
+        told_at = self.told_at.get((worker, self.gateway_of[attempt]))
+        return told_at is not None and at >= told_at + LEARNING_S
+
+    def check_rate(self, worker: BusyWorker) -> None:
         if not worker.rate_limit:
             return
         allowed = 1.5 * float(worker.rate_limit) * WINDOW_S + 5
-        arrivals = [at for at in worker.arrivals if at >= since]
+        arrivals = [
+            at
+            for at, request in zip(worker.arrivals, worker.requests, strict=True)
+            if self.was_told(worker.name, request, at)
+        ]
         for first in arrivals:
             count = sum(first <= at < first + WINDOW_S for at in arrivals)
             if count > allowed:
@@ -386,7 +408,7 @@
     async def serves(self, address: str) -> bool:
         before = self.outcomes["200"]
         pool = Http1Pool(reactor, address, reactor.seconds)
-        await self.call(pool)
+        await self.call(pool, address)
         pool.close()
         return self.outcomes["200"] > before
 
