--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -36,8 +36,6 @@
 OVERDUE_CHECK_INTERVAL_S = 0.2
 # Added to the worker's deadline, so that an answer sent at the deadline arrives.
 DEADLINE_GRACE_S = 0.1
-
-
 # Verdicts on answers to requests that the worker ran. What it writes in place of an
 # answer may leave its limit out.
 RAN_VERDICTS = frozenset({Verdict.ANSWER, Verdict.FAULT})
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -122,8 +122,10 @@
         now = self._node.clock()
         for report in reports:
             view = self.directory.get(report.worker)
-            previous = None if view is None else view.rate.limit
-            if view is not None and self.directory.learn_rate_limit(report, now):
+            if view is None:
+                continue
+            previous = view.rate.limit
+            if view.rate.learn(report.limit, now - report.age_s):
                 self.report_rate_limit(view, previous, "peer")
 
     def report_rate_limit(
--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -166,11 +166,6 @@
         """Return the number of workers that name a limit on their requests."""
         return sum(view.rate.limit is not None for view in self._views.values())
 
-    def learn_rate_limit(self, report: RateLimitReport, now: float) -> bool:
-        """Record what another instance observed; return whether it is new."""
-        view = self._views.get(report.worker)
-        return view is not None and view.rate.learn(report.limit, now - report.age_s)
-
     def rate_limit_reports(self, now: float, most: int) -> tuple[RateLimitReport, ...]:
         """Return recent own observations of limits, latest changes first, in turns.
 
