Log the age of topics and the answers of workers that leave

Callers' requests reach workers that have left, and a wait for an answer of the store that never comes leaves no line until it ends. The age of each topic is a gauge and a field of store.lost; the first answer that says that its worker is about to stop is logged, with what its entry said. No decision reads either.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -39,6 +39,8 @@
 # Verdicts on answers to requests that the worker ran. What it writes in place of an
 # answer may leave its limit out.
 RAN_VERDICTS = frozenset({Verdict.ANSWER, Verdict.FAULT})
+# Verdicts on answers that are known to come from the worker that was asked.
+OWN_VERDICTS = RAN_VERDICTS | {Verdict.NOT_RUN}
 
 
 @final
@@ -114,6 +116,8 @@
             view.observe_load(reply.load, now)
         if reply is not None and _states_rate_limit(reply):
             self._record_rate_limit(view, reply.rate_limit, now)
+        if reply is not None and reply.leaving and reply.verdict in OWN_VERDICTS:
+            self._workers.record_leaving(view)
         if reply is not None:
             view.last_answer_at = now
             self._suspicion.record_alive(view.entry.id)
--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -220,15 +220,35 @@
     sent: int
 
 
+@event(6208, "worker.leaving")
+@final
+@dataclass(frozen=True, slots=True)
+class WorkerLeaving(Event):
+    """A worker's answer says that it is about to stop.
+
+    :param draining: whether its entry in the store said so before.
+    :param entry_age_s: time since its entry was read, in seconds.
+    """
+
+    worker: str
+    service: str
+    draining: bool
+    entry_age_s: float
+
+
 @event(6301, "store.lost", Severity.WARNING)
 @final
 @dataclass(frozen=True, slots=True)
 class StoreLost(Event):
-    """A topic of the store cannot be followed; its last state stays in force."""
+    """A topic of the store cannot be followed; its last state stays in force.
+
+    :param age_s: time since the topic was last confirmed, in seconds.
+    """
 
     topic: str
     fault: str
     detail: str
+    age_s: float
 
 
 @event(6305, "store.call-failed", Severity.WARNING)
--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -171,6 +171,7 @@
 
     def _record_success(self) -> None:
         self._failures = 0
+        self._sources.record_confirmation(self._topic)
         if self._lost_since is not None:
             now = self._node.clock()
             outage_s, self._lost_since = now - self._lost_since, None
@@ -189,8 +190,9 @@
         self._revision = None
         if self._lost_since is None:
             self._lost_since = self._node.clock()
+            age_s = round(self._sources.ages_s()[self._topic], 3)
             self._node.sink.emit(
-                StoreLost(self._topic.value, error.fault.value, error.detail)
+                StoreLost(self._topic.value, error.fault.value, error.detail, age_s)
             )
         else:
             self._node.sink.emit(
--- a/packages/gateway/src/sycamorenotch_gateway/_metrics.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_metrics.py
@@ -16,6 +16,7 @@
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._peers import Peers
 from sycamorenotch_gateway._routes import Routes
+from sycamorenotch_gateway._sources import Sources
 from sycamorenotch_gateway._workers import Workers
 from sycamorenotch_kernel import Refusal
 from sycamorenotch_kernel import WorkerReply
@@ -30,11 +31,12 @@
 class GatewayMetrics:
     """Collects the metrics and renders the metrics page."""
 
-    after: ClassVar[tuple[str, ...]] = ("peers", "routes", "workers")
+    after: ClassVar[tuple[str, ...]] = ("peers", "routes", "sources", "workers")
 
     def __init__(self, node: GatewayNode) -> None:
         self._peers = node.require(Peers)
         self._routes = node.require(Routes)
+        self._sources = node.require(Sources)
         self._workers = node.require(Workers)
         self._registry = Registry()
         options: dict[str, Any] = {"registry": self._registry}
@@ -59,6 +61,11 @@
             "Cores and megabits a second in use, as other instances are told.",
             **options,
         )
+        self._ages = Gauge(
+            "sycamorenotch_gateway_topic_age_seconds",
+            "Time since the store, or a watcher of it, last answered for a topic.",
+            **options,
+        )
         node.provide(GatewayMetrics, self)
 
     def start(self) -> None:
@@ -87,5 +94,7 @@
         used_resources = self._peers.used_resources
         self._usage.set({"of": "processors"}, round(used_resources.processors, 4))
         self._usage.set({"of": "link_mbps"}, round(used_resources.link_mbps, 3))
+        for topic, age_s in self._sources.ages_s().items():
+            self._ages.set({"topic": topic.value}, round(age_s, 3))
         body, _ = render(self._registry, [TEXT_FORMAT])
         return body, TEXT_FORMAT
--- a/packages/gateway/src/sycamorenotch_gateway/_sources.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_sources.py
@@ -15,6 +15,7 @@
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._relay import PollFailure
 from sycamorenotch_gateway._relay import Relay
+from sycamorenotch_gateway._topic_payloads import RELAYED_TOPICS
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import FeedError
 from sycamorenotch_kernel import PeerEntry
@@ -51,6 +52,7 @@
         self._started_at = node.clock()
         self._pulse = node.background(self._pulse_turn)
         self._proven_at: float | None = None
+        self._confirmed_at: dict[Topic, float] = {}
         self._relay.is_current = lambda: self.current
         self._relay.is_starting = lambda: (
             node.clock() - self._started_at < STARTUP_GRACE_S and not node.stopping
@@ -76,6 +78,21 @@
         age_s = self._node.clock() - self._proven_at
         return age_s <= PULSE_INTERVAL.total_seconds() + PULSE_TIMEOUT_S
 
+    def record_confirmation(self, topic: Topic) -> None:
+        """Record that the store, or a watcher of it, answered for a topic just now."""
+        self._confirmed_at[topic] = self._node.clock()
+
+    def ages_s(self) -> dict[Topic, float]:
+        """Return the time since each topic was last confirmed, in seconds.
+
+        A topic that was never read counts from the start.
+        """
+        now = self._node.clock()
+        return {
+            topic: now - self._confirmed_at.get(topic, self._started_at)
+            for topic in RELAYED_TOPICS
+        }
+
     @property
     def waits_for_members(self) -> bool:
         """Whether other instances may be heard of soon, just after the start."""
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -14,6 +14,7 @@
 from sycamorenotch_gateway._events import RateLimitChanged
 from sycamorenotch_gateway._events import WorkerChanged
 from sycamorenotch_gateway._events import WorkerEntryIgnored
+from sycamorenotch_gateway._events import WorkerLeaving
 from sycamorenotch_gateway._events import WorkerRemoved
 from sycamorenotch_gateway._follower import Follower
 from sycamorenotch_gateway._node import GatewayNode
@@ -117,6 +118,20 @@
         """Remove a worker whose address now belongs to another one."""
         self._remove(view.entry.id, "another worker has its address", 0)
 
+    def record_leaving(self, view: WorkerView) -> None:
+        """Record that an answer of a worker says that it is about to stop."""
+        if view.leaving:
+            return
+        view.leaving = True
+        self._node.sink.emit(
+            WorkerLeaving(
+                view.entry.id,
+                view.entry.service,
+                view.entry.draining,
+                round(self._node.clock() - view.seen_at, 3),
+            )
+        )
+
     def learn_rate_limits(self, reports: tuple[RateLimitReport, ...]) -> None:
         """Record the limits that another instance observed."""
         now = self._node.clock()
--- a/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
@@ -260,6 +260,7 @@
     :param load: the worker's load, if the answer reports it.
     :param rate_limit: requests per second that the worker takes from all instances
         together; none if it states no limit.
+    :param leaving: whether the worker says that it is about to stop.
     """
 
     verdict: Verdict
@@ -269,6 +270,7 @@
     body: bytes
     load: LoadReport | None = None
     rate_limit: float | None = None
+    leaving: bool = False
 
 
 @final
--- a/packages/policies/src/sycamorenotch_policies/_worker_view.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_view.py
@@ -61,6 +61,7 @@
     :param cold_cause: why the worker is taken to be cold until then.
     :param missing_until: time at which the worker is removed unless its expired
         entry comes back; none while the entry is present.
+    :param leaving: whether an answer of the worker said that it is about to stop.
     :param estimate: latency of the answers of all workers of the service.
     :param service_load: mean load of all workers of the service.
     :param failed_at: time of the last failure.
@@ -86,6 +87,7 @@
     cold_until: float = -1e9
     cold_cause: ColdCause = ColdCause.REPORTED
     missing_until: float | None = None
+    leaving: bool = False
     rate: WorkerRateLimit = field(default_factory=WorkerRateLimit)
     latency_s: float | None = None
     last_answer_at: float = -1e9
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -145,6 +145,7 @@
         ``silent``: run it and never answer; ``slow``: answer after ``delay_s``
         seconds; ``stranger``: answer 421, as another worker at this address does.
     :param rate_limit: limit that its answers name, in requests per second.
+    :param leaving: whether its answers say that it is about to stop.
     """
 
     name: str
@@ -156,6 +157,7 @@
     state: str = "ready"
     delay_s: float = 0.0
     rate_limit: str = ""
+    leaving: bool = False
     ran: list[str] = field(default_factory=list)
     requests: list[HttpRequest] = field(default_factory=list)
     arrivals: list[float] = field(default_factory=list)
@@ -194,8 +196,9 @@
         expected = get_header(request.headers, "x-expected-instance")
         if self.mode == "stranger" or expected != self.name:
             return HttpResponse(421, (("X-Instance-Id", "i-other"),))
+        leaving = (("Server-Leaving", "1"),) if self.leaving else ()
         if self.mode == "shed":
-            return HttpResponse(503, (echo, ("X-Not-Executed", "1")))
+            return HttpResponse(503, (echo, ("X-Not-Executed", "1"), *leaving))
         self.ran.append(attempt)
         if self.mode == "silent":
             return await Deferred(lambda _: self._cancel())
@@ -207,7 +210,7 @@
         status = 500 if self.mode == "fail" else 200
         signed = ("X-Response-Signature", f"{self.name}.1")
         load = ("X-Server-Load", f"1,0,{self.slots}")
-        headers = (echo, signed, load)
+        headers = (echo, signed, load, *leaving)
         if self.rate_limit:
             headers += (("Server-Limit", self.rate_limit),)
         return HttpResponse(status, headers, self.name.encode())
--- a/testing/platform/test_dialect.py
+++ b/testing/platform/test_dialect.py
@@ -106,6 +106,12 @@
     assert reply.rate_limit == rate
 
 
+@pytest.mark.parametrize(("value", "leaving"), [("1", True), ("0", False), ("", False)])
+def test_leaving_is_read_from_the_answer(dialect, value, leaving) -> None:
+    headers = (SIGNED, ("Server-Leaving", value))
+    assert dialect.decode_reply(HttpResponse(200, headers)).leaving is leaving
+
+
 @pytest.mark.parametrize("value", ["", "1,2", "a,b,c", "1,2,3,4", "-1,0,1"])
 def test_load_is_unknown_when_malformed(dialect, value) -> None:
     reply = dialect.decode_reply(HttpResponse(200, (SIGNED, ("X-Server-Load", value))))
