--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -39,7 +39,8 @@
     """A store of objects by kind and name, with revisions, pages and watches.
 
     While ``drops_watch_events`` is set, a new watch waits even if the store has
-    changes to return or has discarded its history.
+    changes to return or has discarded its history. While ``silent`` is set, nothing is
+    answered; what was asked meanwhile is not answered afterwards either.
     """
 
     def __init__(self) -> None:
@@ -47,6 +48,7 @@
         self.oldest = 10
         self.down = False
         self.drops_watch_events = False
+        self.silent = False
         self.delay_s = 0.0
         self.objects: dict[tuple[str, str], dict] = {}
         self.changes: list[tuple[int, str, dict, bool]] = []
@@ -99,6 +101,8 @@
         query = {name: values[0] for name, values in parse_qs(text).items()}
         kind, _, name = path.removeprefix("/api/objects/").partition("/")
         self.calls.append(f"{request.method} {kind}")
+        if self.silent:
+            return await Deferred()
         if self.delay_s:
             await deferLater(reactor, self.delay_s, lambda: None)
         if self.down:
