Give up a watch of the store that is not answered in time

Cause: silence was taken for no change, for as long as a watch may wait. A watch that is sent while the store does not answer is never answered, also afterwards, and its timeout was 22 s; the topic of the workers was 23.0 s old when the instances noticed (store.lost, age_s).

A watch now ends within stability_window, which the settings state: what was asked before the end of an outage has been asked again when the bounds count. The setting replaces the 5 s of watches that stand in for a followed instance.

--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -36,8 +36,10 @@
     Topic.CONFIGURATION: timedelta(milliseconds=200),
 }
 
-# A watch that takes the place of a followed instance ends with the suspicion of it.
-FALLBACK_WATCH_S = 5.0
+# Asks for the changes that a followed instance may not have passed on, without a wait.
+CHECK_TIMEOUT_S = 1.5
+# Shorter watches would be calls in quick succession.
+MIN_WATCH_TIMEOUT_S = 2.5
 STARTUP_POLL_INTERVAL = timedelta(seconds=0.05)
 # Delay before an instance that has nothing yet asks again.
 STARTUP_RETRY_DELAY = timedelta(seconds=0.1)
@@ -136,9 +138,9 @@
             result = await self._node.feed.read(self._topic, fresh=True)
             is_snapshot = True
         else:
-            wait_s = self._watch_wait_s(checks_store)
+            timeout_s = CHECK_TIMEOUT_S if checks_store else self._watch_timeout_s
             self._watching = not checks_store
-            result = await self._node.feed.watch(self._topic, self._revision, wait_s)
+            result = await self._node.feed.watch(self._topic, self._revision, timeout_s)
             is_snapshot = False
         if result.is_error():
             backoff = self._record_failure(result.error)
@@ -151,10 +153,15 @@
         unchanged = is_snapshot or not result.ok.items
         return NO_DELAY if unchanged else WATCH_DELAYS.get(self._topic, NO_DELAY)
 
-    def _watch_wait_s(self, checks_store: bool) -> float | None:
-        if checks_store:
-            return 0.0
-        return None if self._sources.watches else FALLBACK_WATCH_S
+    @property
+    def _watch_timeout_s(self) -> float:
+        """Longest time for which silence is taken for no change, in seconds.
+
+        A store that was silent when it was asked never answers. What it acknowledges
+        has to be known in time once it has been stable for ``stability_window``.
+        """
+        window = self._node.settings.bounds.stability_window
+        return max(MIN_WATCH_TIMEOUT_S, window.total_seconds())
 
     async def _read_from_peer(self) -> None:
         batch = await self._relay.read(self._topic, self._log.revision)
--- a/packages/gateway/src/sycamorenotch_gateway/_settings.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_settings.py
@@ -90,6 +90,8 @@
 
     :param grace: maximum time from the start of a shutdown to its end.
     :param answer_lifetime: maximum time to live of a look-up answer.
+    :param stability_window: time after an outage of the store until the bounds on what
+        an instance knows hold again.
     :param retry_ratio: retries allowed per request, over ``retry_window``.
     :param extra_retries: further retries in each ``retry_window``, for all instances
         together.
@@ -97,6 +99,7 @@
 
     grace: Duration = timedelta(seconds=6)
     answer_lifetime: Duration = timedelta(seconds=5)
+    stability_window: Duration = timedelta(seconds=4)
     retry_ratio: Number = 0.2
     retry_window: Duration = timedelta(seconds=10)
     extra_retries: Number = 50
--- a/packages/kernel/src/sycamorenotch_kernel/_feeds.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_feeds.py
@@ -94,13 +94,14 @@
         ...
 
     def watch(
-        self, topic: Topic, after: int, wait_s: float | None = None
+        self, topic: Topic, after: int, timeout_s: float
     ) -> Awaitable[Result[Batch, FeedError]]:
         """Wait for changes after a revision.
 
-        An empty batch means that nothing changed within the wait.
+        An empty batch means that nothing changed. The store is asked to answer a while
+        before the timeout, so that a call without an answer has failed.
 
-        :param wait_s: longest wait in seconds; by default as long as suits the store.
+        :param timeout_s: time within which the call ends, in seconds.
         """
         ...
 
--- a/testing/gateway/test_follower.py
+++ b/testing/gateway/test_follower.py
@@ -47,7 +47,7 @@
     async def read(self, topic: Topic, *, fresh: bool):
         return self._answer()
 
-    async def watch(self, topic: Topic, after: int, wait_s: float | None = None):
+    async def watch(self, topic: Topic, after: int, timeout_s: float):
         return self._answer()
 
     async def poll(self, peer: PeerEntry, topic: Topic, after: int):
--- a/testing/gateway/test_settings.py
+++ b/testing/gateway/test_settings.py
@@ -32,6 +32,7 @@
     "limits.link_mbps": "200.0",
     "bounds.grace": "6s",
     "bounds.ttl_max": "5s",
+    "bounds.stability_window": "4000ms",
     "bounds.retry_budget_ratio": "0.2",
     "bounds.budget_window": "10s",
     "bounds.budget_extra_retries": "60",
@@ -61,6 +62,7 @@
     assert settings.resources == Resources(pytest.approx(2.151), 200.0)
     assert settings.bounds.grace == timedelta(seconds=6)
     assert settings.bounds.retry_ratio == 0.2
+    assert settings.bounds.stability_window == timedelta(seconds=4)
 
 
 @pytest.mark.parametrize(
