Send nothing to workers that say that they are about to stop

A worker that leaves says so in all its answers, also while its entry in the store is still ready or the store does not hear of it; its callers' requests went on to it until it was gone.

Leaving is now one state of a worker, reached by its entry or by its answers, and held for its incarnation: an entry that is written again, lapses and comes back, or cannot be read for a moment does not undo it, a new start does. When all workers of a service leave, a request is refused at once.

--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -120,9 +120,8 @@
 
     def record_leaving(self, view: WorkerView) -> None:
         """Record that an answer of a worker says that it is about to stop."""
-        if view.leaving:
+        if not self.directory.record_departure(view):
             return
-        view.leaving = True
         self._node.sink.emit(
             WorkerLeaving(
                 view.entry.id,
@@ -221,7 +220,7 @@
             return
         regained = self._follower.regained_at
         until = -inf if regained is None else regained + ENTRY_RETURN_GRACE_S
-        if now < until and not view.entry.draining and not view.unreachable:
+        if now < until and not view.leaving and not view.unreachable:
             self.directory.mark_missing(name, until)
             return
         self._remove(name, "its entry was removed", revision)
--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable
 from heapq import nsmallest
 from itertools import islice
@@ -19,6 +20,8 @@
 # reached within the last seconds.
 SUSPECT_WORKERS = 2
 SUSPECT_PERIOD_S = 5.0
+# Bound on departures that are remembered; the oldest are forgotten.
+MAX_DEPARTURES = 4_096
 
 
 @final
@@ -37,6 +40,9 @@
         self._estimates: dict[str, LatencyEstimate] = {}
         self._service_loads: dict[str, ServiceLoad] = {}
         self._evacuated: frozenset[str] = frozenset()
+        # Incarnations that are about to stop. They outlive their entries, which may
+        # lapse and come back, or not say so yet.
+        self._departures: OrderedDict[str, int] = OrderedDict()
         self.limits: dict[str, ServiceLimits] = {}
         self.version = 0
 
@@ -55,7 +61,7 @@
     def usable(self, service: str, now: float) -> tuple[WorkerView, ...]:
         """Return the workers of a service that may get requests.
 
-        Workers that are draining, under evacuation or in backoff are left out.
+        Workers that are leaving, under evacuation or in backoff are left out.
         """
         return tuple(
             view
@@ -66,7 +72,7 @@
     def known(self, service: str) -> tuple[WorkerView, ...]:
         """Return the workers of a service, including those in backoff.
 
-        Workers that are draining or under evacuation are left out.
+        Workers that are leaving or under evacuation are left out.
         """
         return self._services.get(service, ())
 
@@ -85,7 +91,7 @@
         """Describe how many workers a service has and why some get no requests."""
         views = [v for v in self._views.values() if v.entry.service == service]
         counts = {
-            "are draining": sum(view.entry.draining for view in views),
+            "are draining": sum(view.leaving for view in views),
             "are in data centres under evacuation": sum(
                 view.entry.data_centre in self._evacuated for view in views
             ),
@@ -128,9 +134,36 @@
         view.missing_until = None
         view.seen_at = now
         self._views[entry.id] = view
+        departed = self._departures.get(entry.id) == entry.incarnation
+        if entry.draining or departed:
+            self._mark_leaving(view)
         self._rebuild_index()
         return True
 
+    def record_departure(self, view: WorkerView) -> bool:
+        """Record that a worker is about to stop, so that it gets no more requests.
+
+        This holds until the worker starts again, whatever becomes of its entry.
+
+        :return: whether it was not known.
+        """
+        if view.leaving:
+            return False
+        self._mark_leaving(view)
+        # The entry may have been removed and read again since the view was chosen.
+        current = self._views.get(view.entry.id)
+        if current is not None and current.entry.incarnation == view.entry.incarnation:
+            current.leaving = True
+        self._rebuild_index()
+        return True
+
+    def _mark_leaving(self, view: WorkerView) -> None:
+        view.leaving = True
+        self._departures[view.entry.id] = view.entry.incarnation
+        self._departures.move_to_end(view.entry.id)
+        if len(self._departures) > MAX_DEPARTURES:
+            self._departures.popitem(last=False)
+
     def remove(self, worker: str) -> None:
         """Remove a worker."""
         if self._views.pop(worker, None) is not None:
@@ -218,7 +251,7 @@
         self.version += 1
         found: dict[str, list[WorkerView]] = {}
         for view in self._views.values():
-            if view.entry.draining or view.entry.data_centre in self._evacuated:
+            if view.leaving or view.entry.data_centre in self._evacuated:
                 continue
             found.setdefault(view.entry.service, []).append(view)
         self._services = {service: tuple(views) for service, views in found.items()}
--- a/packages/policies/src/sycamorenotch_policies/_worker_view.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_view.py
@@ -61,7 +61,7 @@
     :param cold_cause: why the worker is taken to be cold until then.
     :param missing_until: time at which the worker is removed unless its expired
         entry comes back; none while the entry is present.
-    :param leaving: whether an answer of the worker said that it is about to stop.
+    :param leaving: whether the worker is about to stop, by its entry or its answers.
     :param estimate: latency of the answers of all workers of the service.
     :param service_load: mean load of all workers of the service.
     :param failed_at: time of the last failure.
--- a/testing/policies/test_worker_directory.py
+++ b/testing/policies/test_worker_directory.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from sycamorenotch_kernel import ServiceLimits
 from sycamorenotch_kernel import WorkerEntry
 from sycamorenotch_policies import WorkerDirectory
+from sycamorenotch_policies._worker_directory import MAX_DEPARTURES
 
 
 def build_directory(*entries: WorkerEntry) -> WorkerDirectory:
@@ -68,3 +71,31 @@
     for name in ("a1", "a2"):
         directory.get(name).record_failure(1.0, 3.0, unreachable=False)
     assert not directory.is_suspect("a", 1.5)
+
+
+# A late answer of the former start must not take the new one out of use.
+def test_departure_of_a_former_start_does_not_concern_the_new_one() -> None:
+    directory = build_directory(entry("w"))
+    former = directory.get("w")
+    directory.put(replace(entry("w"), incarnation=2), 1.0)
+    assert directory.record_departure(former)
+    assert [view.entry.id for view in directory.usable("s", 1.0)] == ["w"]
+
+
+def test_draining_holds_when_the_entry_goes_back_to_ready() -> None:
+    directory = build_directory(entry("w"))
+    directory.put(replace(entry("w"), draining=True), 1.0)
+    directory.remove("w")
+    directory.put(entry("w"), 2.0)
+    assert directory.usable("s", 2.0) == ()
+    assert "1 are draining" in directory.describe("s", 2.0)
+
+
+def test_departures_are_bounded() -> None:
+    directory = build_directory()
+    for number in range(MAX_DEPARTURES + 1):
+        directory.put(replace(entry(f"w-{number}"), draining=True), 0.0)
+        directory.remove(f"w-{number}")
+    directory.put(entry("w-0"), 1.0)
+    directory.put(entry("w-1"), 1.0)
+    assert [view.entry.id for view in directory.usable("s", 1.0)] == ["w-0"]
