Log the era of the store and configurations that are put aside

Callers are handled by an old configuration after the store came back from an older copy, and the logs do not say what was read from it. The store states its era in its answers; a change of it is logged for each topic with the revisions of both sides, and so is a configuration that is read and not applied. No decision reads either.

--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -121,6 +121,22 @@
     problem: str
 
 
+@event(6103, "configuration.ignored")
+@final
+@dataclass(frozen=True, slots=True)
+class ConfigurationIgnored(Event):
+    """A configuration was read that is not newer than the one in force.
+
+    :param in_force: version of the configuration in force.
+    :param in_force_revision: revision of the configuration in force.
+    """
+
+    version: int
+    revision: int
+    in_force: int
+    in_force_revision: int
+
+
 @event(6201, "worker.changed")
 @final
 @dataclass(frozen=True, slots=True)
@@ -283,6 +299,23 @@
     revision: int
 
 
+@event(6309, "store.era-changed", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class StoreEraChanged(Event):
+    """The store has lost acknowledged writes, and gives out their revisions again.
+
+    :param revision: revision of the first answer of the new era.
+    :param previous_revision: last revision that was known of the former era.
+    """
+
+    topic: str
+    era: int
+    previous_era: int
+    revision: int
+    previous_revision: int
+
+
 @event(6306, "store.relayed")
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from sycamorenotch_gateway._events import StoreCallFailed
+from sycamorenotch_gateway._events import StoreEraChanged
 from sycamorenotch_gateway._events import StoreHistoryGone
 from sycamorenotch_gateway._events import StoreLost
 from sycamorenotch_gateway._events import StoreRegained
@@ -66,6 +67,7 @@
         self._handle_batch = handle_batch
         self._loop = node.background(self._turn)
         self._revision: int | None = None
+        self._era: int | None = None
         # Whether the store, not a peer, keeps the items current.
         self._watching = False
         self._checks_store = False
@@ -148,6 +150,7 @@
                 await self._read_from_peer()
             return backoff
         self._record_success()
+        self._note_era(result.ok)
         self._revision = result.ok.revision
         self._apply(result.ok, is_snapshot)
         unchanged = is_snapshot or not result.ok.items
@@ -176,6 +179,20 @@
         self.complete = True
         self._relay.answer_polls(self._topic)
 
+    def _note_era(self, batch: Batch) -> None:
+        """Log that the store has lost writes since the last batch."""
+        era, self._era = self._era, batch.era
+        if era is not None and era != batch.era:
+            self._node.sink.emit(
+                StoreEraChanged(
+                    self._topic.value,
+                    batch.era,
+                    era,
+                    batch.revision,
+                    self._log.revision,
+                )
+            )
+
     def _record_success(self) -> None:
         self._failures = 0
         self._sources.record_confirmation(self._topic)
--- a/packages/gateway/src/sycamorenotch_gateway/_routes.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_routes.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from sycamorenotch_gateway._events import ConfigurationApplied
+from sycamorenotch_gateway._events import ConfigurationIgnored
 from sycamorenotch_gateway._events import ConfigurationRejected
 from sycamorenotch_gateway._follower import Follower
 from sycamorenotch_gateway._node import GatewayNode
@@ -56,6 +57,8 @@
         if current is not None and (
             current.configuration.revision >= configuration.revision
         ):
+            if current.configuration != configuration:
+                self._report_ignored(configuration, current.configuration)
             return
         self.table = RouteTable(configuration)
         self._node.sink.emit(
@@ -68,6 +71,15 @@
         for listener in self._listeners:
             listener(configuration)
 
+    def _report_ignored(
+        self, ignored: ForwardingConfiguration, in_force: ForwardingConfiguration
+    ) -> None:
+        self._node.sink.emit(
+            ConfigurationIgnored(
+                ignored.version, ignored.revision, in_force.version, in_force.revision
+            )
+        )
+
     def _apply_batch(self, batch: Batch, is_snapshot: bool) -> None:
         for item in batch.items:
             if item.problem:
--- a/packages/kernel/src/sycamorenotch_kernel/_feeds.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_feeds.py
@@ -76,10 +76,13 @@
     """Objects of a topic, all of them or only the changed ones.
 
     :param revision: store revision up to which the batch is complete.
+    :param era: number of the history that the revision belongs to. It rises when the
+        store loses acknowledged writes; revisions are then given out again.
     """
 
     items: tuple[Item, ...]
     revision: int
+    era: int = 0
 
 
 class ObjectFeed(Protocol):
