--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import Any
 from urllib.parse import parse_qs
 from urllib.parse import unquote
@@ -35,6 +36,16 @@
     return HttpResponse(status, headers, orjson.dumps(value))
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """State of a :class:`StandInStore` at one moment."""
+
+    revision: int
+    oldest: int
+    objects: dict[tuple[str, str], dict]
+    changes: list[tuple[int, str, dict, bool]]
+
+
 class StandInStore:
     """A store of objects by kind and name, with revisions, pages and watches.
 
@@ -44,6 +55,7 @@
     """
 
     def __init__(self) -> None:
+        self.era = 1
         self.revision = 10
         self.oldest = 10
         self.down = False
@@ -67,6 +79,22 @@
         self.revision += 1
         self._record_change(kind, self.objects.pop((kind, name)), deleted=True)
 
+    def copy(self) -> StoreCopy:
+        return StoreCopy(
+            self.revision, self.oldest, dict(self.objects), list(self.changes)
+        )
+
+    def restore(self, copy: StoreCopy, cut_watches: bool = True) -> None:
+        """Go back to a copy; later writes are lost and their revisions given again.
+
+        :param cut_watches: whether the waiting watches end; otherwise they wait on.
+        """
+        self.era += 1
+        self.revision, self.oldest = copy.revision, copy.oldest
+        self.objects, self.changes = dict(copy.objects), list(copy.changes)
+        if cut_watches:
+            self.cut_watches(503)
+
     def discard_history(self) -> None:
         self.oldest = self.revision + 1
         self.revision += 1
@@ -97,6 +125,11 @@
         return as_json({"events": events, "at": self.revision})
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        answer = await self._answer(request)
+        headers = (*answer.headers, ("Store-Era", str(self.era)))
+        return replace(answer, headers=headers)
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
         path, _, text = request.target.partition("?")
         query = {name: values[0] for name, values in parse_qs(text).items()}
         kind, _, name = path.removeprefix("/api/objects/").partition("/")
@@ -129,7 +162,7 @@
         return as_json({"items": items, "has_more": more, "at": self.revision})
 
     async def _watch(self, kind: str, after: int, wait_s: float) -> HttpResponse:
-        if after < self.oldest and not self.drops_watch_events:
+        if not self.oldest <= after <= self.revision and not self.drops_watch_events:
             return as_json({}, 410)
         known = any(found == kind and rev > after for rev, found, _, _ in self.changes)
         if known and not self.drops_watch_events:
--- a/testing/platform/test_sources.py
+++ b/testing/platform/test_sources.py
@@ -193,6 +193,24 @@
     run_fleet(scenario)
 
 
+# Followers compared the revisions of a restored store with those of the lost history.
+def test_changes_arrive_after_the_store_went_back(run_fleet) -> None:
+    async def scenario(fleet) -> None:
+        copy = fleet.store.copy()
+        for version in (2, 3, 4):
+            fleet.put_configuration(version)
+            await fleet.wait_until(
+                lambda version=version: fleet.in_force(version), IN_FORCE_S
+            )
+        fleet.store.restore(copy)
+        fleet.put_configuration(4)
+        await deferLater(reactor, STABLE_S, lambda: None)
+        fleet.put_configuration(5)
+        await fleet.wait_until(lambda: fleet.in_force(5), IN_FORCE_S)
+
+    run_fleet(scenario)
+
+
 def test_instance_that_the_store_refuses_follows_a_watcher(run_fleet) -> None:
     async def scenario(fleet) -> None:
         refused = min(fleet.gateways.keys() - fleet.watchers())
