Order configurations by the operator's version

Cause: configurations were ordered by the revision of their object. A store that comes back from an older copy gives out revisions again; 13 got the 51 that 11 had had and was put aside (configuration.ignored at 21.56 s on all instances). The operator's version rises with each configuration and is part of the object, so that it orders them whatever the store does; an old version that is written again at a high revision does not return either.

--- a/packages/gateway/src/sycamorenotch_gateway/_routes.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_routes.py
@@ -23,7 +23,10 @@
 @gateway_components.register("routes")
 @final
 class Routes:
-    """Holds the newest configuration; its revision never decreases."""
+    """Holds the newest configuration; its version never decreases.
+
+    Revisions do not order configurations, as the store may give them out again.
+    """
 
     after: ClassVar[tuple[str, ...]] = ("relay", "sources")
 
@@ -55,7 +58,7 @@
         """Apply a configuration if it is newer than the one in force."""
         current = self.table
         if current is not None and (
-            current.configuration.revision >= configuration.revision
+            current.configuration.version >= configuration.version
         ):
             if current.configuration != configuration:
                 self._report_ignored(configuration, current.configuration)
--- a/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
@@ -119,9 +119,9 @@
 class ForwardingConfiguration:
     """One version of the routes, services and limits.
 
-    :param version: version number that the operator wrote into the object.
-    :param revision: revision of the object in the store, which orders the
-        versions.
+    :param version: version number that the operator wrote into the object. It rises
+        with each configuration.
+    :param revision: revision of the object in the store, for the log.
     :param services: limits of each service by its name.
     """
 
