Tell the histories of a restored store apart

When the store comes back from an older copy, its revisions name other writes than before. A watch that waits on from a revision of the lost history misses the first writes of the new one; a follower takes a watcher's batch only if its revision is larger than one that was lost; pages of two histories make a list that never was. Callers would be served by a configuration, or reach a worker, that the store no longer names.

A position is now the era and the revision, in batches, in the log of a topic and in polls between instances.

--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -19,6 +19,7 @@
 from sycamorenotch_kernel import FeedError
 from sycamorenotch_kernel import FeedFault
 from sycamorenotch_kernel import PeerEntry
+from sycamorenotch_kernel import Position
 from sycamorenotch_kernel import Topic
 from sycamorenotch_policies import TopicLog
 
@@ -67,7 +68,6 @@
         self._handle_batch = handle_batch
         self._loop = node.background(self._turn)
         self._revision: int | None = None
-        self._era: int | None = None
         # Whether the store, not a peer, keeps the items current.
         self._watching = False
         self._checks_store = False
@@ -99,13 +99,15 @@
         """Return all items, or ``None`` while the store does not keep them current."""
         return None if not self.complete or self.lost else self._log.snapshot()
 
-    def changes(self, after: int) -> tuple[Batch, bool] | None:
-        """Return the changes after a revision, and whether they are a snapshot.
+    def changes(self, after: Position) -> tuple[Batch, bool] | None:
+        """Return the changes after a moment, and whether they are a snapshot.
 
-        :return: ``None`` while this instance does not watch the topic in the store.
+        :return: ``None`` while this instance does not watch the topic in the store, or
+            has not seen the era of that moment.
         """
         current = self.complete and self._watching and not self.lost
-        return self._log.since(after) if current else None
+        seen = after.era <= self._log.position.era
+        return self._log.since(after) if current and seen else None
 
     async def _turn(self) -> timedelta:
         if self._sources.waits_for_members:
@@ -120,7 +122,7 @@
 
     async def _follow_peer(self, source: PeerEntry) -> timedelta:
         self._watching = False
-        found = await self._relay.poll(source, self._topic, self._log.revision)
+        found = await self._relay.poll(source, self._topic, self._log.position)
         if found.is_error():
             self._sources.record_failure(self._topic, source, found.error)
             if not self.complete:
@@ -129,9 +131,9 @@
             return OUTAGE_POLL_INTERVAL if self.lost else NO_DELAY
         self._record_success()
         batch, is_snapshot = found.ok
-        if batch.revision > self._log.revision or not self.complete:
+        if batch.position > self._log.position or not self.complete:
             self._apply(batch, is_snapshot)
-        self._revision = self._log.revision
+        self._revision = self._log.position.revision
         return NO_DELAY
 
     async def _follow_store(self) -> timedelta:
@@ -150,7 +152,10 @@
                 await self._read_from_peer()
             return backoff
         self._record_success()
-        self._note_era(result.ok)
+        if not is_snapshot and result.ok.era != self._log.position.era:
+            # The watch began in a history whose end is lost.
+            self._revision = None
+            return NO_DELAY
         self._revision = result.ok.revision
         self._apply(result.ok, is_snapshot)
         unchanged = is_snapshot or not result.ok.items
@@ -167,12 +172,14 @@
         return max(MIN_WATCH_TIMEOUT_S, window.total_seconds())
 
     async def _read_from_peer(self) -> None:
-        batch = await self._relay.read(self._topic, self._log.revision)
+        batch = await self._relay.read(self._topic, self._log.position)
         if batch is not None:
             self._node.sink.emit(TopicRelayed(self._topic.value, batch.revision))
             self._apply(batch, is_snapshot=True)
 
     def _apply(self, batch: Batch, is_snapshot: bool) -> None:
+        if self.complete:
+            self._note_era(batch)
         self._log.apply(batch, is_snapshot=is_snapshot)
         if is_snapshot or batch.items:
             self._handle_batch(batch, is_snapshot)
@@ -181,15 +188,15 @@
 
     def _note_era(self, batch: Batch) -> None:
         """Log that the store has lost writes since the last batch."""
-        era, self._era = self._era, batch.era
-        if era is not None and era != batch.era:
+        known = self._log.position
+        if batch.era != known.era:
             self._node.sink.emit(
                 StoreEraChanged(
                     self._topic.value,
                     batch.era,
-                    era,
+                    known.era,
                     batch.revision,
-                    self._log.revision,
+                    known.revision,
                 )
             )
 
--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -22,6 +22,7 @@
 from sycamorenotch_gateway._topic_payloads import encode_topic
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import PeerEntry
+from sycamorenotch_kernel import Position
 from sycamorenotch_kernel import Topic
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_transport import ExchangeError
@@ -51,10 +52,11 @@
         """Return all items, or ``None`` while the store does not keep them current."""
         ...
 
-    def changes(self, after: int) -> tuple[Batch, bool] | None:
-        """Return the changes after a revision, and whether they are a snapshot.
+    def changes(self, after: Position) -> tuple[Batch, bool] | None:
+        """Return the changes after a moment, and whether they are a snapshot.
 
-        :return: ``None`` while this instance does not watch the topic in the store.
+        :return: ``None`` while this instance does not watch the topic in the store, or
+            has not seen the era of that moment.
         """
         ...
 
@@ -131,14 +133,20 @@
             self.answer_polls(topic)
 
     async def poll(
-        self, peer: PeerEntry, topic: Topic, after: int
+        self, peer: PeerEntry, topic: Topic, after: Position
     ) -> Result[tuple[Batch, bool], PollFailure]:
         """Wait at a peer for changes of a topic.
 
-        :param after: newest revision that this instance has.
+        :param after: newest moment that this instance knows of.
         :return: the changes, possibly none, and whether they are a snapshot.
         """
-        query = urlencode({"after": after, "wait_ms": int(POLL_WAIT_S * 1000)})
+        query = urlencode(
+            {
+                "after": after.revision,
+                "era": after.era,
+                "wait_ms": int(POLL_WAIT_S * 1000),
+            }
+        )
         pool = self._pools.get(peer.gossip)
         if pool is None:
             self._drop_pools()
@@ -146,11 +154,11 @@
         target = f"{TOPICS_PATH}{topic.value}?{query}"
         return await self._fetch(pool, peer, topic, target, POLL_TIMEOUT_S)
 
-    async def read(self, topic: Topic, after: int) -> Batch | None:
+    async def read(self, topic: Topic, after: Position) -> Batch | None:
         """Read a topic from a random peer.
 
-        :param after: newest revision that this instance has.
-        :return: a snapshot with a newer revision, or ``None``.
+        :param after: newest moment that this instance knows of.
+        :return: a newer snapshot, or ``None``.
         """
         peers = self.peers()
         if not peers or topic not in RELAYED_TOPICS:
@@ -162,7 +170,7 @@
             found = await self._fetch(pool, peer, topic, target, REQUEST_TIMEOUT_S)
         finally:
             pool.close()
-        if found.is_error() or found.ok[0].revision <= after:
+        if found.is_error() or found.ok[0].position <= after:
             return None
         return found.ok[0]
 
@@ -215,7 +223,8 @@
         self, topic: Topic, query: dict[str, list[str]]
     ) -> HttpResponse:
         try:
-            after, wait_ms = (int(query[name][0]) for name in ("after", "wait_ms"))
+            revision, wait_ms = (int(query[name][0]) for name in ("after", "wait_ms"))
+            after = Position(int(query.get("era", ["0"])[0]), revision)
         except (KeyError, ValueError):
             return HttpResponse(400)
         found = self._current_changes(topic, after)
@@ -231,7 +240,9 @@
             200, body=encode_topic(topic, batch, is_snapshot=is_snapshot)
         )
 
-    def _current_changes(self, topic: Topic, after: int) -> tuple[Batch, bool] | None:
+    def _current_changes(
+        self, topic: Topic, after: Position
+    ) -> tuple[Batch, bool] | None:
         return self._providers[topic].changes(after) if self.is_current() else None
 
     async def _wait_for_change(self, topic: Topic, wait_s: float) -> None:
--- a/packages/gateway/src/sycamorenotch_gateway/_topic_payloads.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_topic_payloads.py
@@ -30,6 +30,7 @@
     """
 
     revision: int
+    era: int = 0
     snapshot: bool = True
     removed: tuple[str, ...] = ()
     problems: dict[str, str] = field(default_factory=dict)
@@ -69,6 +70,7 @@
     """Encode items of a topic as JSON."""
     payload = _PAYLOADS[topic](
         revision=batch.revision,
+        era=batch.era,
         snapshot=is_snapshot,
         removed=tuple(item.name for item in batch.items if item.removed),
         problems={i.name: i.problem for i in batch.items if i.problem},
@@ -99,4 +101,4 @@
             for name, problem in found.problems.items()
         ),
     )
-    return Ok((Batch(items, revision), found.snapshot))
+    return Ok((Batch(items, revision, found.era), found.snapshot))
--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -55,6 +55,7 @@
 from sycamorenotch_kernel._feeds import FeedFault
 from sycamorenotch_kernel._feeds import Item
 from sycamorenotch_kernel._feeds import ObjectFeed
+from sycamorenotch_kernel._feeds import Position
 from sycamorenotch_kernel._feeds import Topic
 from sycamorenotch_kernel._forwarding import CALLER_ERROR_STATUSES
 from sycamorenotch_kernel._forwarding import NOT_RUN_STATUS
@@ -222,6 +223,7 @@
     "Placement",
     "Plan",
     "PlanRoute",
+    "Position",
     "Proceed",
     "Ran",
     "Rank",
--- a/packages/kernel/src/sycamorenotch_kernel/_feeds.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_feeds.py
@@ -70,20 +70,38 @@
     removed: bool = False
 
 
+@final
+@dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """Moment in the history of the store; later ones are larger.
+
+    :param era: rises when the store loses acknowledged writes and gives out their
+        revisions again.
+    :param revision: rises with each write of one era.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Batch:
     """Objects of a topic, all of them or only the changed ones.
 
     :param revision: store revision up to which the batch is complete.
-    :param era: number of the history that the revision belongs to. It rises when the
-        store loses acknowledged writes; revisions are then given out again.
+    :param era: era of the store to which the revision belongs.
     """
 
     items: tuple[Item, ...]
     revision: int
     era: int = 0
 
+    @property
+    def position(self) -> Position:
+        """Moment up to which the batch is complete."""
+        return Position(self.era, self.revision)
+
 
 class ObjectFeed(Protocol):
     """Reads and watches decoded objects of the platform's store."""
--- a/packages/policies/src/sycamorenotch_policies/_topic_log.py
+++ b/packages/policies/src/sycamorenotch_policies/_topic_log.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable
 from typing import final
 
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import Item
+from sycamorenotch_kernel import Position
 
 # Readers that are further behind get all items.
 MAX_CHANGES = 2_048
@@ -24,10 +26,13 @@
         self._changes: deque[tuple[int, Item]] = deque()
         # Changes after this revision are complete.
         self._base = 0
-        self.revision = 0
+        self.position = Position()
 
     def apply(self, batch: Batch, *, is_snapshot: bool) -> None:
-        """Add a batch of changes, or replace all items."""
+        """Add a batch of changes, or replace all items.
+
+        Changes continue the history of the last snapshot; another one needs a snapshot.
+        """
         if is_snapshot:
             self._items.clear()
             self._changes.clear()
@@ -41,23 +46,26 @@
                 self._changes.append((batch.revision, item))
         while len(self._changes) > MAX_CHANGES:
             self._base, _ = self._changes.popleft()
-        self.revision = batch.revision
+        self.position = batch.position
 
     def snapshot(self) -> Batch:
         """Return all items."""
-        return Batch(tuple(self._items.values()), self.revision)
+        return self._batch(self._items.values())
 
-    def since(self, revision: int) -> tuple[Batch, bool]:
-        """Return what changed after a revision.
+    def since(self, after: Position) -> tuple[Batch, bool]:
+        """Return what changed after a moment.
 
         :return: the changed items, each once, and whether they are all items of the
             topic because the changes are not known.
         """
-        if revision < self._base:
+        if after.era != self.position.era or after.revision < self._base:
             return self.snapshot(), True
         changed = {
             item.name: item
             for changed_at, item in self._changes
-            if changed_at > revision
+            if changed_at > after.revision
         }
-        return Batch(tuple(changed.values()), self.revision), False
+        return self._batch(changed.values()), False
+
+    def _batch(self, items: Iterable[Item]) -> Batch:
+        return Batch(tuple(items), self.position.revision, self.position.era)
--- a/testing/platform/test_sources.py
+++ b/testing/platform/test_sources.py
@@ -211,6 +211,28 @@
     run_fleet(scenario)
 
 
+# A watcher that had read the restored store answered polls from the lost history as if
+# the numbers of both were one.
+def test_followers_learn_of_changes_when_only_watchers_see_the_store_go_back(
+    run_fleet,
+) -> None:
+    async def scenario(fleet) -> None:
+        copy = fleet.store.copy()
+        for version in (2, 3, 4):
+            fleet.put_configuration(version)
+            await fleet.wait_until(
+                lambda version=version: fleet.in_force(version), IN_FORCE_S
+            )
+        await deferLater(reactor, IN_FORCE_S, lambda: None)
+        fleet.store.restore(copy, cut_watches=False)
+        fleet.put_configuration(4)
+        await deferLater(reactor, STABLE_S, lambda: None)
+        fleet.put_configuration(5)
+        await fleet.wait_until(lambda: fleet.in_force(5), IN_FORCE_S)
+
+    run_fleet(scenario)
+
+
 def test_instance_that_the_store_refuses_follows_a_watcher(run_fleet) -> None:
     async def scenario(fleet) -> None:
         refused = min(fleet.gateways.keys() - fleet.watchers())
