Keep workers right when the store comes back from an older copy

The copy does not know workers that joined after it, and still knows those that have gone. The first were removed although they write their entries again within two seconds, the latter got requests of callers again.

An entry that is missing after the store has gone back is held for as long as after an outage.

--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from math import inf
 from typing import final
 
 from sycamorenotch_gateway._events import StoreCallFailed
@@ -46,6 +47,11 @@
 # Delay before an instance that has nothing yet asks again.
 STARTUP_RETRY_DELAY = timedelta(seconds=0.1)
 
+# Entries that expired during an outage of the store, or were lost when it went back,
+# are written again within two seconds of its return; the rest covers the delay of the
+# watch.
+ENTRY_RETURN_GRACE_S = 2.2
+
 # Receives a batch, and whether it is a snapshot of the whole topic.
 BatchHandler = Callable[[Batch, bool], None]
 
@@ -79,7 +85,9 @@
         self._lost_since: float | None = None
         # In an outage, a follower does not try the store before this time.
         self._next_try_at = 0.0
+        # When the store was back after an outage, and when it had gone back.
         self.regained_at: float | None = None
+        self.rewound_at: float | None = None
         self.complete = False
 
     @property
@@ -87,6 +95,13 @@
         """Whether the last call to the store failed."""
         return self._lost_since is not None
 
+    @property
+    def entries_return_by(self) -> float:
+        """When entries that lapsed or were lost in the store are written again."""
+        times = (self.regained_at, self.rewound_at)
+        known = [time for time in times if time is not None]
+        return max(known) + ENTRY_RETURN_GRACE_S if known else -inf
+
     def start(self) -> None:
         """Start following the topic."""
         self._loop.start()
@@ -187,9 +202,10 @@
         self._relay.answer_polls(self._topic)
 
     def _note_era(self, batch: Batch) -> None:
-        """Log that the store has lost writes since the last batch."""
+        """Record whether the store has lost writes since the last batch."""
         known = self._log.position
         if batch.era != known.era:
+            self.rewound_at = self._node.clock()
             self._node.sink.emit(
                 StoreEraChanged(
                     self._topic.value,
--- a/packages/gateway/src/sycamorenotch_gateway/_topic_payloads.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_topic_payloads.py
@@ -27,6 +27,7 @@
     :param snapshot: whether ``items`` are all items of the topic.
     :param removed: names of the objects that were deleted.
     :param problems: why objects cannot be decoded, by name.
+    :param revisions: revisions at which the objects were written, by name.
     """
 
     revision: int
@@ -34,6 +35,7 @@
     snapshot: bool = True
     removed: tuple[str, ...] = ()
     problems: dict[str, str] = field(default_factory=dict)
+    revisions: dict[str, int] = field(default_factory=dict)
 
 
 @final
@@ -74,6 +76,7 @@
         snapshot=is_snapshot,
         removed=tuple(item.name for item in batch.items if item.removed),
         problems={i.name: i.problem for i in batch.items if i.problem},
+        revisions={i.name: i.revision for i in batch.items if i.value is not None},
         items={i.name: i.value for i in batch.items if i.value is not None},
     )
     return _ADAPTERS[topic].dump_json(payload)
@@ -92,7 +95,7 @@
     revision = found.revision
     items = (
         *(
-            Item(name, getattr(value, "revision", revision), value)
+            Item(name, found.revisions.get(name, revision), value)
             for name, value in found.items.items()
         ),
         *(Item(name, revision, removed=True) for name in found.removed),
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from datetime import timedelta
-from math import inf
 from typing import ClassVar
 from typing import final
 
@@ -35,9 +34,6 @@
 from sycamorenotch_policies import WorkerView
 from sycamorenotch_transport import Http1Pool
 
-# Entries that expired during an outage of the store are written again within two
-# seconds of its recovery; the rest covers the delay of the watch.
-ENTRY_RETURN_GRACE_S = 2.2
 MAINTENANCE_INTERVAL = timedelta(seconds=0.25)
 # Fraction of a worker's connections that may be idle; the rest serves requests.
 IDLE_CONNECTION_FRACTION = 0.5
@@ -198,11 +194,13 @@
             existing is not None
             and existing.entry == entry
             and existing.missing_until is None
+            and not (existing.leaving and existing.revision != revision)
         ):
+            existing.revision = revision
             return
         if existing is not None and existing.entry.incarnation != entry.incarnation:
             self._suspicion.record_crash(entry.id)
-        self.directory.put(entry, now)
+        self.directory.put(entry, now, revision)
         self._node.sink.emit(
             WorkerChanged(
                 entry.id,
@@ -218,17 +216,18 @@
         view = self.directory.get(name)
         if view is None:
             return
-        regained = self._follower.regained_at
-        until = -inf if regained is None else regained + ENTRY_RETURN_GRACE_S
+        until = self._follower.entries_return_by
         if now < until and not view.leaving and not view.unreachable:
             self.directory.mark_missing(name, until)
             return
-        self._remove(name, "its entry was removed", revision)
+        self._remove(name, "its entry was removed", revision, gone=True)
 
-    def _remove(self, name: str, reason: str, revision: int) -> None:
+    def _remove(
+        self, name: str, reason: str, revision: int, *, gone: bool = False
+    ) -> None:
         if self.directory.get(name) is None:
             return
-        self.directory.remove(name)
+        self.directory.remove(name, gone=gone)
         self._close_pool(name)
         self._node.sink.emit(WorkerRemoved(name, reason, revision))
 
--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
+from dataclasses import dataclass
 from heapq import nsmallest
 from itertools import islice
 from typing import final
@@ -24,6 +25,24 @@
 MAX_DEPARTURES = 4_096
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class _Departure:
+    """Why an incarnation of a worker gets no requests, also if its entry is back.
+
+    :param entry_revision: revision of its last entry, if that was removed: a restored
+        store shows it unchanged. None if the worker is about to stop.
+    """
+
+    incarnation: int
+    entry_revision: int | None = None
+
+    def concerns(self, entry: WorkerEntry, revision: int) -> bool:
+        """Return whether it holds for an entry that was written at a revision."""
+        same_start = entry.incarnation == self.incarnation
+        return same_start and self.entry_revision in (None, revision)
+
+
 @final
 class WorkerDirectory:
     """Known workers of every service, indexed by service.
@@ -40,9 +59,8 @@
         self._estimates: dict[str, LatencyEstimate] = {}
         self._service_loads: dict[str, ServiceLoad] = {}
         self._evacuated: frozenset[str] = frozenset()
-        # Incarnations that are about to stop. They outlive their entries, which may
-        # lapse and come back, or not say so yet.
-        self._departures: OrderedDict[str, int] = OrderedDict()
+        # They outlive the entries, which may lapse and come back, or not say so yet.
+        self._departures: OrderedDict[str, _Departure] = OrderedDict()
         self.limits: dict[str, ServiceLimits] = {}
         self.version = 0
 
@@ -117,9 +135,10 @@
         """Data centres under evacuation; their workers get no requests."""
         return self._evacuated
 
-    def put(self, entry: WorkerEntry, now: float) -> bool:
+    def put(self, entry: WorkerEntry, now: float, revision: int = 0) -> bool:
         """Add a worker or update its entry.
 
+        :param revision: revision at which the entry was written.
         :return: whether the set of workers changed; always true.
         """
         view = self._views.get(entry.id)
@@ -133,10 +152,12 @@
                 view.record_cold_start(now + entry.cold_s, ColdCause.REPORTED)
         view.missing_until = None
         view.seen_at = now
+        view.revision = revision
         self._views[entry.id] = view
-        departed = self._departures.get(entry.id) == entry.incarnation
-        if entry.draining or departed:
-            self._mark_leaving(view)
+        if entry.draining:
+            self._remember_departure(entry, _Departure(entry.incarnation))
+        departure = self._departures.get(entry.id)
+        view.leaving = departure is not None and departure.concerns(entry, revision)
         self._rebuild_index()
         return True
 
@@ -149,7 +170,8 @@
         """
         if view.leaving:
             return False
-        self._mark_leaving(view)
+        view.leaving = True
+        self._remember_departure(view.entry, _Departure(view.entry.incarnation))
         # The entry may have been removed and read again since the view was chosen.
         current = self._views.get(view.entry.id)
         if current is not None and current.entry.incarnation == view.entry.incarnation:
@@ -157,17 +179,25 @@
         self._rebuild_index()
         return True
 
-    def _mark_leaving(self, view: WorkerView) -> None:
-        view.leaving = True
-        self._departures[view.entry.id] = view.entry.incarnation
-        self._departures.move_to_end(view.entry.id)
+    def _remember_departure(self, entry: WorkerEntry, departure: _Departure) -> None:
+        self._departures[entry.id] = departure
+        self._departures.move_to_end(entry.id)
         if len(self._departures) > MAX_DEPARTURES:
             self._departures.popitem(last=False)
 
-    def remove(self, worker: str) -> None:
-        """Remove a worker."""
-        if self._views.pop(worker, None) is not None:
-            self._rebuild_index()
+    def remove(self, worker: str, *, gone: bool = False) -> None:
+        """Remove a worker.
+
+        :param gone: whether its entry was removed, so that the worker is not back
+            before the entry is written again.
+        """
+        view = self._views.pop(worker, None)
+        if view is None:
+            return
+        if gone and not view.leaving:
+            departure = _Departure(view.entry.incarnation, view.revision)
+            self._remember_departure(view.entry, departure)
+        self._rebuild_index()
 
     def mark_missing(self, worker: str, until: float) -> None:
         """Keep a worker for now whose entry may only have expired.
@@ -190,9 +220,7 @@
             if view.missing_until is not None and now >= view.missing_until
         )
         for name in expired:
-            del self._views[name]
-        if expired:
-            self._rebuild_index()
+            self.remove(name, gone=True)
         return expired
 
     def limited_count(self) -> int:
--- a/packages/policies/src/sycamorenotch_policies/_worker_view.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_view.py
@@ -61,7 +61,9 @@
     :param cold_cause: why the worker is taken to be cold until then.
     :param missing_until: time at which the worker is removed unless its expired
         entry comes back; none while the entry is present.
-    :param leaving: whether the worker is about to stop, by its entry or its answers.
+    :param revision: revision at which the entry was written.
+    :param leaving: whether the worker is about to stop, by its entry or its answers, or
+        is gone and only its former entry is back.
     :param estimate: latency of the answers of all workers of the service.
     :param service_load: mean load of all workers of the service.
     :param failed_at: time of the last failure.
@@ -87,6 +89,7 @@
     cold_until: float = -1e9
     cold_cause: ColdCause = ColdCause.REPORTED
     missing_until: float | None = None
+    revision: int = 0
     leaving: bool = False
     rate: WorkerRateLimit = field(default_factory=WorkerRateLimit)
     latency_s: float | None = None
--- a/testing/platform/test_topics.py
+++ b/testing/platform/test_topics.py
@@ -12,8 +12,8 @@
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 
+from sycamorenotch_gateway._follower import ENTRY_RETURN_GRACE_S
 from sycamorenotch_gateway._relay import Relay
-from sycamorenotch_gateway._workers import ENTRY_RETURN_GRACE_S
 from sycamorenotch_gateway._workers import Workers
 
 
--- a/testing/policies/test_worker_directory.py
+++ b/testing/policies/test_worker_directory.py
@@ -99,3 +99,22 @@
     directory.put(entry("w-0"), 1.0)
     directory.put(entry("w-1"), 1.0)
     assert [view.entry.id for view in directory.usable("s", 1.0)] == ["w-0"]
+
+
+# A restored store shows the entries of workers that are gone as they were.
+def test_former_entry_of_a_worker_that_is_gone_does_not_bring_it_back() -> None:
+    directory = build_directory()
+    directory.put(entry("w"), 0.0, revision=7)
+    directory.remove("w", gone=True)
+    directory.put(entry("w"), 1.0, revision=7)
+    assert directory.usable("s", 1.0) == ()
+    directory.put(entry("w"), 2.0, revision=9)
+    assert [view.entry.id for view in directory.usable("s", 2.0)] == ["w"]
+
+
+def test_worker_that_started_again_is_back_whatever_its_revision() -> None:
+    directory = build_directory()
+    directory.put(entry("w"), 0.0, revision=7)
+    directory.remove("w", gone=True)
+    directory.put(replace(entry("w"), incarnation=2), 1.0, revision=7)
+    assert [view.entry.id for view in directory.usable("s", 1.0)] == ["w"]
