Hold evacuations that a restored store has lost

A data centre whose evacuation the store lost when it went back got requests again for the moment until the operator had written it again, and its workers then counted as cold.

--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -98,9 +98,16 @@
     @property
     def entries_return_by(self) -> float:
         """When entries that lapsed or were lost in the store are written again."""
-        times = (self.regained_at, self.rewound_at)
-        known = [time for time in times if time is not None]
-        return max(known) + ENTRY_RETURN_GRACE_S if known else -inf
+        if self.regained_at is None:
+            return self.lost_writes_return_by
+        lapsed_by = self.regained_at + ENTRY_RETURN_GRACE_S
+        return max(lapsed_by, self.lost_writes_return_by)
+
+    @property
+    def lost_writes_return_by(self) -> float:
+        """When writes that a restored store has lost are written again."""
+        rewound_at = self.rewound_at
+        return -inf if rewound_at is None else rewound_at + ENTRY_RETURN_GRACE_S
 
     def start(self) -> None:
         """Start following the topic."""
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -69,6 +69,9 @@
         self._follower = Follower(node, Topic.WORKERS, self._apply_batch)
         self._evacuations = Follower(node, Topic.EVACUATIONS, self._apply_evacuations)
         self._evacuated_data_centres: set[str] = set()
+        # Evacuations that a restored store has lost, and when they end unless they are
+        # written again.
+        self._held_evacuations: dict[str, float] = {}
         self._maintenance = node.background(self._turn)
         node.require(Routes).subscribe(self._apply_configuration)
         self._suspicion = node.require(CrashSuspicion)
@@ -238,20 +241,36 @@
 
     def _apply_evacuations(self, batch: Batch, is_snapshot: bool) -> None:
         if is_snapshot:
+            now, until = self._node.clock(), self._evacuations.lost_writes_return_by
+            if now < until:
+                lost = self._evacuated_data_centres - {i.name for i in batch.items}
+                self._held_evacuations.update(dict.fromkeys(lost, until))
             self._evacuated_data_centres.clear()
         for item in batch.items:
+            self._held_evacuations.pop(item.name, None)
             if item.removed:
                 self._evacuated_data_centres.discard(item.name)
             else:
                 self._evacuated_data_centres.add(item.name)
-        data_centres = frozenset(self._evacuated_data_centres)
+        self._publish_evacuations(batch.revision)
+
+    def _publish_evacuations(self, revision: int) -> None:
+        data_centres = self._evacuated_data_centres | self._held_evacuations.keys()
         if data_centres != self.directory.evacuated:
-            self.directory.evacuate(data_centres, self._node.clock())
+            self.directory.evacuate(frozenset(data_centres), self._node.clock())
             self._node.sink.emit(
-                EvacuationChanged(",".join(sorted(data_centres)), batch.revision)
+                EvacuationChanged(",".join(sorted(data_centres)), revision)
             )
 
+    def _end_held_evacuations(self, now: float) -> None:
+        ended = [dc for dc, until in self._held_evacuations.items() if now >= until]
+        if ended:
+            for data_centre in ended:
+                del self._held_evacuations[data_centre]
+            self._publish_evacuations(0)
+
     async def _turn(self) -> timedelta:
+        self._end_held_evacuations(self._node.clock())
         for name in self.directory.expire(self._node.clock()):
             self._close_pool(name)
             reason = "its entry did not come back after an outage of the store"
