Write the own entry again when the store has lost it

An instance wrote its entry once. A store that comes back from an older copy may not have it, and instances that start later would not find this one by the store. It is written again when the list of instances, read every 15 s, does not name it, and the list is then read fresh, as a stale one could miss the new entry too. test_own_entry_is_written_again_when_the_store_lost_it failed before and passes.

--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -35,6 +35,7 @@
 ENTRIES_REREAD_INTERVAL = timedelta(seconds=15)
 # Keeps a datagram small; the reports take turns.
 MAX_LIMITS_PER_HEARTBEAT = 16
+NO_DELAY = timedelta()
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 3.0
 
@@ -206,13 +207,16 @@
         )
         if found.is_error():
             return self._back_off(found.error.detail)
-        self._entries_read = True
+        names = {item.name for item in found.ok.items}
+        # A store that came back from an older copy may have lost the own entry.
+        lost = self._entries_read and self.entry.id not in names
+        self._announced = self._entries_read = not lost
         self._failures = 0
         self.failure_detector.set_entries(
             item.value for item in found.ok.items if item.value is not None
         )
         self.broadcast_heartbeat()
-        return ENTRIES_REREAD_INTERVAL
+        return ENTRIES_REREAD_INTERVAL if self._announced else NO_DELAY
 
     def _back_off(self, detail: str) -> timedelta:
         self._node.sink.emit(AnnouncementFailed(detail))
