Let the fault soak silence and restore the store, and workers leave

New faults beside the others: a silent store, a store that goes back to a copy of up to two seconds before, with or without an end of the watches, and workers that say in their answers that they leave while their entries stay. Checked from the workers' side: no request that was sent 2.5 s after a gateway passed that on reaches the worker, unless the gateway was stopped or paused or the worker started again; and four seconds after the faults, a new route is served 2.5 s after its acknowledgement on every gateway.

--- a/testing/platform/fault_soak.py
+++ b/testing/platform/fault_soak.py
@@ -23,6 +23,7 @@
 from testing.platform.conftest import ROUTES
 from testing.platform.conftest import SETTINGS
 from testing.platform.conftest import configuration
+from testing.platform.conftest import route
 from testing.platform.proxies import MODES
 from testing.platform.proxies import Proxy
 from testing.platform.standins import StandInStore
@@ -64,6 +65,12 @@
 WINDOW_S = 4.0
 LEARNING_S = 0.5
 WORKER_MODES = ("shed", "fail", "cut", "silent")
+# The users' bounds: on requests to a worker that a gateway has heard to be leaving, on
+# a new configuration, and the time after the faults from which the latter holds.
+DRAIN_S = 2.5
+CONFIGURATION_APPLY_S = 2.5
+STABILITY_WINDOW_S = 4.0
+LATE_ROUTE = "/late/"
 
 
 class GatewayProcess(ProcessProtocol):
@@ -115,8 +122,10 @@
     def __post_init__(self) -> None:
         super().__post_init__()
         self.random = Random(self.name)
+        self.on_request: Callable[[str, HttpRequest], None] = lambda name, req: None
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
+        self.on_request(self.name, request)
         await deferLater(reactor, self.random.uniform(0.0, 0.03), lambda: None)
         return await super()._handle(request)
 
@@ -136,6 +145,9 @@
     # Gateway of each attempt, and when one first passed on a worker's present limit.
     gateway_of: dict[str, str] = field(default_factory=dict)
     told_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    # When each attempt was sent; when a gateway first passed on that a worker leaves.
+    sent_at: dict[str, float] = field(default_factory=dict)
+    leaving_at: dict[tuple[str, str], float] = field(default_factory=dict)
     problems: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -144,9 +156,12 @@
         self.workers = [
             BusyWorker(f"i-{n}", zone="ab"[n % 2], slots=8) for n in range(WORKERS)
         ]
+        for worker in self.workers:
+            worker.on_request = self.check_leaving
         self.worker_proxies = [Proxy(worker.server.address) for worker in self.workers]
         self.version = 1
-        self.store.put("config", "main", configuration())
+        self.configuration = configuration()
+        self.store.put("config", "main", self.configuration)
         for number in range(WORKERS):
             self.register(number)
         ports = iter(free_ports(5 * GATEWAYS.value))
@@ -179,6 +194,7 @@
         self.sent += 1
         attempt = f"t{self.sent}"
         self.gateway_of[attempt] = gateway
+        self.sent_at[attempt] = reactor.seconds()
         path, kind = self.random.choice(list(ROUTES.items()))
         headers = (
             ("Host", "h"),
@@ -200,6 +216,7 @@
             return
         self.outcomes[str(response.status)] += 1
         self.note_rate_limit(gateway, response)
+        self.note_leaving(gateway, response)
         self.check_answer(attempt, kind, response)
 
     def check_answer(self, attempt: str, kind: str, response: HttpResponse) -> None:
@@ -250,15 +267,20 @@
     async def inject(self, seconds: float) -> None:
         end = reactor.seconds() + seconds
         kinds: dict[str, Callable[[], None]] = {
-            "kill": lambda: self.random_gateway().signal(signal.SIGKILL),
-            "term": lambda: self.random_gateway().signal(signal.SIGTERM),
+            "kill": lambda: self.disturbed_gateway().signal(signal.SIGKILL),
+            "term": lambda: self.disturbed_gateway().signal(signal.SIGTERM),
             "hup": lambda: self.random_gateway().signal(signal.SIGHUP),
-            "pause": lambda: self.random_gateway().pause(self.random.uniform(0.2, 2.0)),
+            "pause": lambda: self.disturbed_gateway().pause(
+                self.random.uniform(0.2, 2.0)
+            ),
             "worker": self.break_worker,
             "worker-link": lambda: self.break_link(self.worker_proxies),
             "store-link": lambda: self.break_link(self.store_proxies),
             "worker-restart": self.restart_worker,
+            "worker-leaving": self.leave_worker,
             "store-down": self.stop_store,
+            "store-silent": self.silence_store,
+            "store-restored": self.restore_store,
             "store-slow": self.slow_store,
             "store-history": self.store.discard_history,
             "configuration": self.change_configuration,
@@ -273,6 +295,13 @@
     def random_gateway(self) -> GatewayProcess:
         return self.random.choice(self.gateways)
 
+    def disturbed_gateway(self) -> GatewayProcess:
+        """Return a gateway whose restart or pause excuses what it does not know."""
+        gateway = self.random_gateway()
+        address = self.callers[self.gateways.index(gateway)]
+        self.forget_leaving(lambda worker, told: told == address)
+        return gateway
+
     def break_worker(self) -> None:
         worker = self.random.choice(self.workers)
         worker.mode = self.random.choice(WORKER_MODES)
@@ -283,14 +312,38 @@
         proxy.set_mode(self.random.choice(MODES))
         reactor.callLater(self.random.uniform(0.2, 2.0), proxy.set_mode, "")
 
-    def restart_worker(self) -> None:
-        number = self.random.randrange(WORKERS)
+    def restart_worker(self, number: int | None = None) -> None:
+        if number is None:
+            number = self.random.randrange(WORKERS)
         worker = self.workers[number]
         for connection in tuple(worker.server.connections):
             connection.transport.abortConnection()
         worker.born += 1
+        worker.leaving = False
+        self.forget_leaving(lambda left, told: left == worker.name)
         self.register(number)
 
+    def leave_worker(self) -> None:
+        """Let a worker say that it leaves; its entry does not say so."""
+        self.random.choice(self.workers).leaving = True
+
+    def silence_store(self) -> None:
+        self.store.silent = True
+        delay = self.random.uniform(0.2, 2.0)
+        reactor.callLater(delay, setattr, self.store, "silent", False)
+
+    def restore_store(self) -> None:
+        """Let the store go back; what was lost is written again a little later."""
+        copy = self.store.copy()
+        cuts, delay = self.random.random() < 0.5, self.random.uniform(0.2, 2.0)
+        reactor.callLater(delay, self.store.restore, copy, cuts)
+        reactor.callLater(delay + self.random.uniform(0.0, 1.5), self.write_again)
+
+    def write_again(self) -> None:
+        self.store.put("config", "main", self.configuration)
+        for number in range(WORKERS):
+            self.register(number)
+
     def stop_store(self) -> None:
         self.store.down = True
         self.store.cut_watches(503)
@@ -305,7 +358,8 @@
     def change_configuration(self) -> None:
         self.version += 1
         timeout = f"{self.random.randrange(500, 2500)}ms"
-        self.store.put("config", "main", configuration(self.version, timeout=timeout))
+        self.configuration = configuration(self.version, timeout=timeout)
+        self.store.put("config", "main", self.configuration)
 
     def evacuate(self) -> None:
         if ("evacuations", "a") in self.store.objects:
@@ -358,6 +412,53 @@
                 )
                 break
 
+    # Leaving workers
+
+    def note_leaving(self, gateway: str, response: HttpResponse) -> None:
+        worker = get_header(response.headers, "x-response-signature").partition(".")[0]
+        leaving = {item.name for item in self.workers if item.leaving}
+        if get_header(response.headers, "server-leaving") and worker in leaving:
+            self.leaving_at.setdefault((worker, gateway), reactor.seconds())
+
+    def forget_leaving(self, ended: Callable[[str, str], bool]) -> None:
+        self.leaving_at = {
+            key: at for key, at in self.leaving_at.items() if not ended(*key)
+        }
+
+    def check_leaving(self, worker: str, request: HttpRequest) -> None:
+        attempt = get_header(request.headers, "x-attempt-id")
+        told_at = self.leaving_at.get((worker, self.gateway_of.get(attempt, "")))
+        if told_at is not None and self.sent_at[attempt] > told_at + DRAIN_S:
+            seconds = self.sent_at[attempt] - told_at
+            self.problems.append(
+                f"{attempt}: reached {worker} {seconds:.1f} s after it had left"
+            )
+
+    async def check_configuration(self) -> None:
+        """Check that a new route is served in time after the faults."""
+        await deferLater(reactor, STABILITY_WINDOW_S, lambda: None)
+        self.version += 1
+        self.configuration = configuration(self.version)
+        self.configuration["resources"].append(route(LATE_ROUTE, "safe"))
+        self.store.put("config", "main", self.configuration)
+        await deferLater(reactor, CONFIGURATION_APPLY_S, lambda: None)
+        for gateway in self.callers:
+            pool = Http1Pool(reactor, gateway, reactor.seconds)
+            attempt = f"late-{gateway}"
+            self.gateway_of[attempt], self.sent_at[attempt] = gateway, reactor.seconds()
+            headers = (("Host", "h"), ("X-Attempt-Id", attempt))
+            exchange = Deferred.fromCoroutine(
+                pool.exchange(HttpRequest("GET", LATE_ROUTE, headers), 1.0)
+            )
+            exchange.addTimeout(4.0, reactor)
+            try:
+                status = (await exchange).status
+            except (ExchangeError, DeferredTimeoutError) as exc:
+                status = type(exc).__name__
+            pool.close()
+            if status != 200:
+                self.problems.append(f"{gateway}: {status} on a route added late")
+
     # The run
 
     async def run(self, seconds: float) -> None:
@@ -367,7 +468,7 @@
         callers = [Deferred.fromCoroutine(self.caller()) for _ in range(CALLERS)]
         await self.inject(seconds)
         self.clear_faults()
-        await deferLater(reactor, 3.0, lambda: None)
+        await self.check_configuration()
         await self.limit_rates()
         for worker in self.workers:
             worker.rate_limit, worker.mode = "", "run"
@@ -384,8 +485,12 @@
             gateway.signal(signal.SIGKILL)
 
     def clear_faults(self) -> None:
-        self.store.down = False
+        self.store.down = self.store.silent = False
         self.store.delay_s = 0.0
+        # Workers that said that they leave are gone and start again.
+        for number, worker in enumerate(self.workers):
+            if worker.leaving:
+                self.restart_worker(number)
         if ("evacuations", "a") in self.store.objects:
             self.store.remove("evacuations", "a")
         for proxy in (*self.worker_proxies, *self.store_proxies):
