--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -183,6 +183,7 @@
         seconds; ``stranger``: answer 421, as another worker at this address does.
     :param rate_limit: limit that its answers name, in requests per second.
     :param leaving: whether its answers say that it is about to stop.
+    :param retry_after: pause that it asks for when it sheds a request, in seconds.
     """
 
     name: str
@@ -195,6 +196,7 @@
     delay_s: float = 0.0
     rate_limit: str = ""
     leaving: bool = False
+    retry_after: str = ""
     ran: list[str] = field(default_factory=list)
     requests: list[HttpRequest] = field(default_factory=list)
     arrivals: list[float] = field(default_factory=list)
@@ -235,7 +237,8 @@
             return HttpResponse(421, (("X-Instance-Id", "i-other"),))
         leaving = (("Server-Leaving", "1"),) if self.leaving else ()
         if self.mode == "shed":
-            return HttpResponse(503, (echo, ("X-Not-Executed", "1"), *leaving))
+            pause = (("Retry-After", self.retry_after),) if self.retry_after else ()
+            return HttpResponse(503, (echo, ("X-Not-Executed", "1"), *leaving, *pause))
         self.ran.append(attempt)
         if self.mode == "silent":
             return await Deferred(lambda _: self._cancel())
