Keep the pauses that workers ask for

A worker that turns a request away with 503 and Retry-After wants nothing from that instance for so long. Nothing read the header: 32 requests reached a stand-in in 2.4 s of a pause, where two are allowed from half a second after the answer on.

When every worker that could take a request pauses, it is refused at once, with a return drawn from the end of the first pause and spread by rank. Two events and a gauge.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -118,6 +118,8 @@
             self._record_rate_limit(view, reply.rate_limit, now)
         if reply is not None and reply.leaving and reply.verdict in OWN_VERDICTS:
             self._workers.record_leaving(view)
+        if reply is not None and reply.pause_s and reply.verdict in OWN_VERDICTS:
+            self._workers.record_pause(view, reply.pause_s, call.id)
         if reply is not None:
             view.last_answer_at = now
             self._suspicion.record_alive(view.entry.id)
--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -252,6 +252,33 @@
     entry_age_s: float
 
 
+@event(6209, "worker.paused", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class WorkerPaused(Event):
+    """A worker turned a request away and wants no others for a while.
+
+    :param request: identifier of the request that it turned away.
+    :param sent: requests that this instance sent to it in the last second.
+    """
+
+    worker: str
+    service: str
+    pause_s: float
+    request: str
+    sent: int
+
+
+@event(6210, "worker.resumed")
+@final
+@dataclass(frozen=True, slots=True)
+class WorkerResumed(Event):
+    """The pause that a worker asked for is over."""
+
+    worker: str
+    service: str
+
+
 @event(6301, "store.lost", Severity.WARNING)
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_metrics.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_metrics.py
@@ -53,7 +53,7 @@
         )
         self._state = Gauge(
             "sycamorenotch_gateway_state",
-            "Configuration version, known and rate-limited workers, live instances.",
+            "Configuration version, known, limited and paused workers, live instances.",
             **options,
         )
         self._usage = Gauge(
@@ -90,6 +90,7 @@
         self._state.set({"of": "workers"}, len(self._workers.directory))
         limited = self._workers.directory.limited_count()
         self._state.set({"of": "rate-limited workers"}, limited)
+        self._state.set({"of": "paused workers"}, self._workers.paused_count)
         self._state.set({"of": "instances"}, self._peers.live_count)
         used_resources = self._peers.used_resources
         self._usage.set({"of": "processors"}, round(used_resources.processors, 4))
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -14,7 +14,9 @@
 from sycamorenotch_gateway._events import WorkerChanged
 from sycamorenotch_gateway._events import WorkerEntryIgnored
 from sycamorenotch_gateway._events import WorkerLeaving
+from sycamorenotch_gateway._events import WorkerPaused
 from sycamorenotch_gateway._events import WorkerRemoved
+from sycamorenotch_gateway._events import WorkerResumed
 from sycamorenotch_gateway._follower import Follower
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._relay import Relay
@@ -64,6 +66,7 @@
             lambda: self.reported_demand,
             lambda: self.peer_demands(),
         )
+        self._paused: dict[str, WorkerView] = {}
         self._pools: dict[str, Http1Pool] = {}
         self._idle_timeouts: dict[str, AdaptiveIdleTimeout] = {}
         self._follower = Follower(node, Topic.WORKERS, self._apply_batch)
@@ -97,6 +100,11 @@
         """Whether workers and evacuations have been read once."""
         return self._follower.complete and self._evacuations.complete
 
+    @property
+    def paused_count(self) -> int:
+        """Number of workers that asked this instance for a pause."""
+        return self.directory.paused_count(self._node.clock())
+
     def pool(self, view: WorkerView) -> Http1Pool:
         """Return the connection pool of a worker; it is created on first use."""
         name = view.entry.id
@@ -130,6 +138,31 @@
             )
         )
 
+    def record_pause(self, view: WorkerView, pause_s: float, request: str) -> None:
+        """Record that a worker wants no requests of this instance for a while.
+
+        :param pause_s: length of the pause, in seconds.
+        :param request: identifier of the request that it turned away.
+        """
+        now = self._node.clock()
+        if view.record_pause(now, pause_s):
+            self._paused[view.entry.id] = view
+            self._node.sink.emit(
+                WorkerPaused(
+                    view.entry.id,
+                    view.entry.service,
+                    round(pause_s, 3),
+                    request,
+                    view.sent_last_second(now),
+                )
+            )
+
+    def _report_resumed(self, now: float) -> None:
+        ended = [name for name, v in self._paused.items() if now >= v.paused_until]
+        for name in ended:
+            view = self._paused.pop(name)
+            self._node.sink.emit(WorkerResumed(name, view.entry.service))
+
     def learn_rate_limits(self, reports: tuple[RateLimitReport, ...]) -> None:
         """Record the limits that another instance observed."""
         now = self._node.clock()
@@ -271,6 +304,7 @@
 
     async def _turn(self) -> timedelta:
         self._end_held_evacuations(self._node.clock())
+        self._report_resumed(self._node.clock())
         for name in self.directory.expire(self._node.clock()):
             self._close_pool(name)
             reason = "its entry did not come back after an outage of the store"
--- a/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
@@ -261,6 +261,8 @@
     :param rate_limit: requests per second that the worker takes from all instances
         together; none if it states no limit.
     :param leaving: whether the worker says that it is about to stop.
+    :param pause_s: time for which the worker wants no requests of this instance, in
+        seconds; none if it states none.
     """
 
     verdict: Verdict
@@ -271,6 +273,7 @@
     load: LoadReport | None = None
     rate_limit: float | None = None
     leaving: bool = False
+    pause_s: float | None = None
 
 
 @final
--- a/packages/policies/src/sycamorenotch_policies/_worker_choice.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_choice.py
@@ -129,15 +129,22 @@
         :param now: monotonic time in seconds.
         """
         homes = request.route.homes
-        candidates = [
+        eligible = [
             view
             for view in views
             if view.entry.id not in request.tried
             and (not homes or view.region in homes)
-            and self._is_warm_enough(view, now)
+        ]
+        candidates = [
+            view
+            for view in eligible
+            if now >= view.paused_until and self._is_warm_enough(view, now)
         ]
         allowed = [view for view in candidates if self._is_within_share(view, now)]
         if not allowed:
+            paused = [view for view in eligible if now < view.paused_until]
+            if paused and not candidates:
+                return self._refusal_until_resumed(request, paused, now)
             return self._refusal(request, candidates, now)
         responsive = [view for view in allowed if now < view.unresponsive_from()]
         owners = self._owners(request, responsive or allowed, now)
@@ -172,6 +179,22 @@
             ),
         )
 
+    def _refusal_until_resumed(
+        self, request: WorkerRequest, paused: list[WorkerView], now: float
+    ) -> NoCapacity:
+        """Refuse a request until the first worker that pauses takes requests again."""
+        wait_s = min(view.paused_until for view in paused) - now
+        rate = sum(
+            view.entry.slots / (view.latency_s or DEFAULT_LATENCY_S) for view in paused
+        )
+        return NoCapacity(
+            "every worker that could accept the request asked for a pause",
+            max(
+                MIN_RETRY_AFTER_S,
+                self._returns.next_s(request.route.priority, wait_s, rate, now),
+            ),
+        )
+
     def _is_within_share(self, view: WorkerView, now: float) -> bool:
         if view.rate.limit is None:
             return True
--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -113,6 +113,7 @@
             "are in data centres under evacuation": sum(
                 view.entry.data_centre in self._evacuated for view in views
             ),
+            "asked for a pause": sum(now < view.paused_until for view in views),
             "pause after failures": sum(now < view.backoff_until for view in views),
             **{
                 cause.value: sum(
@@ -223,6 +224,10 @@
             self.remove(name, gone=True)
         return expired
 
+    def paused_count(self, now: float) -> int:
+        """Return the number of workers that asked this instance for a pause."""
+        return sum(now < view.paused_until for view in self._views.values())
+
     def limited_count(self) -> int:
         """Return the number of workers that name a limit on their requests."""
         return sum(view.rate.limit is not None for view in self._views.values())
--- a/packages/policies/src/sycamorenotch_policies/_worker_view.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_view.py
@@ -55,6 +55,7 @@
     :param reported_at: time of the last load report.
     :param failures: consecutive failures.
     :param backoff_until: end of the backoff after a failure.
+    :param paused_until: end of the pause that the worker asked this instance for.
     :param unreachable: whether the worker could not be connected to since its
         last regular answer.
     :param cold_until: end of the cold start, with a limited request rate.
@@ -85,6 +86,7 @@
     reported_at: float = -1e9
     failures: int = 0
     backoff_until: float = -1e9
+    paused_until: float = -1e9
     unreachable: bool = False
     cold_until: float = -1e9
     cold_cause: ColdCause = ColdCause.REPORTED
@@ -186,6 +188,16 @@
             latency_s if known is None else known + LATENCY_WEIGHT * (latency_s - known)
         )
 
+    def record_pause(self, now: float, pause_s: float) -> bool:
+        """Record that the worker wants no requests of this instance for a while.
+
+        :param pause_s: length of the pause, in seconds.
+        :return: whether no pause was in force.
+        """
+        is_new = now >= self.paused_until
+        self.paused_until = max(self.paused_until, now + pause_s)
+        return is_new
+
     def record_cold_start(self, until: float, cause: ColdCause) -> None:
         """Record that the worker is taken to be cold until a time."""
         self.cold_until = until
--- a/testing/platform/test_dialect.py
+++ b/testing/platform/test_dialect.py
@@ -12,6 +12,7 @@
 from sycamorenotch_kernel import Refusal
 from sycamorenotch_kernel import Verdict
 from sycamorenotch_kernel import dialects
+from sycamorenotch_platform._dialect import MAX_PAUSE_S
 from sycamorenotch_transport import HttpRequest
 from sycamorenotch_transport import HttpResponse
 from sycamorenotch_transport import get_header
@@ -112,6 +113,24 @@
     assert dialect.decode_reply(HttpResponse(200, headers)).leaving is leaving
 
 
+@pytest.mark.parametrize(
+    ("status", "value", "pause_s"),
+    [
+        (503, "2", 2.0),
+        (503, "0.25", 0.25),
+        (503, "1e9", MAX_PAUSE_S),
+        *((503, text, None) for text in ("", "-1", "nan", "Sat, 05 Dec 2026")),
+        (200, "2", None),
+        (429, "2", None),
+    ],
+)
+def test_pause_is_read_from_an_answer_that_turns_away(
+    dialect, status, value, pause_s
+) -> None:
+    headers = (("X-Not-Executed", "1"), ("Retry-After", value))
+    assert dialect.decode_reply(HttpResponse(status, headers)).pause_s == pause_s
+
+
 @pytest.mark.parametrize("value", ["", "1,2", "a,b,c", "1,2,3,4", "-1,0,1"])
 def test_load_is_unknown_when_malformed(dialect, value) -> None:
     reply = dialect.decode_reply(HttpResponse(200, (SIGNED, ("X-Server-Load", value))))
