--- a/testing/platform/fault_soak.py
+++ b/testing/platform/fault_soak.py
@@ -499,9 +499,9 @@
                 Deferred.fromCoroutine(self.leave_and_restore()),
             ]
         )
-        await self.check_configuration()
         for worker in self.workers:
             worker.rate_limit, worker.mode = "", "run"
+        await self.check_configuration()
         self.finished = True
         await gatherResults(callers, consumeErrors=True)
         await self.wait_until_served()
