Do not take an entry that only lapsed for that of a worker that is gone

The revision that told a restored store's former entry apart was also kept for workers whose entries had not come back in time after an outage. Such a worker writes its entry again, and after the store went back that may be at the very revision that the lost one had; the worker would then have been left out for good. Only an entry that was removed is remembered now. Read in the code, not seen in a run.

--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -226,12 +226,7 @@
         existing = self.directory.get(entry.id)
         if existing is not None and existing.entry.address != entry.address:
             self._close_pool(entry.id)
-        if (
-            existing is not None
-            and existing.entry == entry
-            and existing.missing_until is None
-            and not (existing.leaving and existing.revision != revision)
-        ):
+        if existing is not None and _is_known(existing, entry, revision):
             existing.revision = revision
             return
         if existing is not None and existing.entry.incarnation != entry.incarnation:
@@ -323,3 +318,11 @@
         instances = 1 + len(self._relay.peers())
         share = int(limits.connections * IDLE_CONNECTION_FRACTION / instances)
         return max(1, min(MAX_IDLE_CONNECTIONS, share))
+
+
+def _is_known(view: WorkerView, entry: WorkerEntry, revision: int) -> bool:
+    """Return whether an entry says nothing new of a worker."""
+    if view.entry != entry or view.missing_until is not None:
+        return False
+    # Written again, it may bring back a worker that was gone.
+    return not view.leaving or view.revision == revision
--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -221,7 +221,7 @@
             if view.missing_until is not None and now >= view.missing_until
         )
         for name in expired:
-            self.remove(name, gone=True)
+            self.remove(name)
         return expired
 
     def paused_count(self, now: float) -> int:
