Move the evacuations out of the workers into a part of their own

A component held the workers, their pools and limits and, since they outlive a loss of the store, a second state of evacuations. No behaviour changes.

--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -9,7 +9,7 @@
 from typing import ClassVar
 from typing import final
 
-from sycamorenotch_gateway._events import EvacuationChanged
+from sycamorenotch_gateway._evacuations import Evacuations
 from sycamorenotch_gateway._events import RateLimitChanged
 from sycamorenotch_gateway._events import WorkerChanged
 from sycamorenotch_gateway._events import WorkerEntryIgnored
@@ -70,11 +70,7 @@
         self._pools: dict[str, Http1Pool] = {}
         self._idle_timeouts: dict[str, AdaptiveIdleTimeout] = {}
         self._follower = Follower(node, Topic.WORKERS, self._apply_batch)
-        self._evacuations = Follower(node, Topic.EVACUATIONS, self._apply_evacuations)
-        self._evacuated_data_centres: set[str] = set()
-        # Evacuations that a restored store has lost, and when they end unless they are
-        # written again.
-        self._held_evacuations: dict[str, float] = {}
+        self._evacuations = Evacuations(node, self.directory)
         self._maintenance = node.background(self._turn)
         node.require(Routes).subscribe(self._apply_configuration)
         self._suspicion = node.require(CrashSuspicion)
@@ -267,38 +263,8 @@
         if pool is not None:
             pool.close()
 
-    def _apply_evacuations(self, batch: Batch, is_snapshot: bool) -> None:
-        if is_snapshot:
-            now, until = self._node.clock(), self._evacuations.lost_writes_return_by
-            if now < until:
-                lost = self._evacuated_data_centres - {i.name for i in batch.items}
-                self._held_evacuations.update(dict.fromkeys(lost, until))
-            self._evacuated_data_centres.clear()
-        for item in batch.items:
-            self._held_evacuations.pop(item.name, None)
-            if item.removed:
-                self._evacuated_data_centres.discard(item.name)
-            else:
-                self._evacuated_data_centres.add(item.name)
-        self._publish_evacuations(batch.revision)
-
-    def _publish_evacuations(self, revision: int) -> None:
-        data_centres = self._evacuated_data_centres | self._held_evacuations.keys()
-        if data_centres != self.directory.evacuated:
-            self.directory.evacuate(frozenset(data_centres), self._node.clock())
-            self._node.sink.emit(
-                EvacuationChanged(",".join(sorted(data_centres)), revision)
-            )
-
-    def _end_held_evacuations(self, now: float) -> None:
-        ended = [dc for dc, until in self._held_evacuations.items() if now >= until]
-        if ended:
-            for data_centre in ended:
-                del self._held_evacuations[data_centre]
-            self._publish_evacuations(0)
-
     async def _turn(self) -> timedelta:
-        self._end_held_evacuations(self._node.clock())
+        self._evacuations.expire(self._node.clock())
         self._report_resumed(self._node.clock())
         for name in self.directory.expire(self._node.clock()):
             self._close_pool(name)
