--- a/testing/platform/fault_soak.py
+++ b/testing/platform/fault_soak.py
@@ -99,6 +99,7 @@
 
     def processEnded(self, reason: Any) -> None:
         self.process = None
+        self._soak.excuse_gateway(self)
         if not self._soak.finished:
             reactor.callLater(RESTART_DELAY_S, self.start)
 
@@ -113,6 +114,8 @@
             reactor.callLater(seconds, self.resume)
 
     def resume(self) -> None:
+        if self.paused:
+            self._soak.excuse_gateway(self)
         self.paused = False
         self.signal(signal.SIGCONT)
 
@@ -268,12 +271,10 @@
     async def inject(self, seconds: float) -> None:
         end = reactor.seconds() + seconds
         kinds: dict[str, Callable[[], None]] = {
-            "kill": lambda: self.disturbed_gateway().signal(signal.SIGKILL),
-            "term": lambda: self.disturbed_gateway().signal(signal.SIGTERM),
+            "kill": lambda: self.random_gateway().signal(signal.SIGKILL),
+            "term": lambda: self.random_gateway().signal(signal.SIGTERM),
             "hup": lambda: self.random_gateway().signal(signal.SIGHUP),
-            "pause": lambda: self.disturbed_gateway().pause(
-                self.random.uniform(0.2, 2.0)
-            ),
+            "pause": lambda: self.random_gateway().pause(self.random.uniform(0.2, 2.0)),
             "worker": self.break_worker,
             "worker-link": lambda: self.break_link(self.worker_proxies),
             "store-link": lambda: self.break_link(self.store_proxies),
@@ -296,13 +297,6 @@
     def random_gateway(self) -> GatewayProcess:
         return self.random.choice(self.gateways)
 
-    def disturbed_gateway(self) -> GatewayProcess:
-        """Return a gateway whose restart or pause excuses what it does not know."""
-        gateway = self.random_gateway()
-        address = self.callers[self.gateways.index(gateway)]
-        self.forget_leaving(lambda worker, told: told == address)
-        return gateway
-
     def break_worker(self) -> None:
         worker = self.random.choice(self.workers)
         worker.mode = self.random.choice(WORKER_MODES)
@@ -421,6 +415,11 @@
         if get_header(response.headers, "server-leaving") and worker in leaving:
             self.leaving_at.setdefault((worker, gateway), reactor.seconds())
 
+    def excuse_gateway(self, gateway: GatewayProcess) -> None:
+        """Forget what a gateway that was restarted or paused has passed on."""
+        address = self.callers[self.gateways.index(gateway)]
+        self.forget_leaving(lambda worker, told: told == address)
+
     def forget_leaving(self, ended: Callable[[str, str], bool]) -> None:
         self.leaving_at = {
             key: at for key, at in self.leaving_at.items() if not ended(*key)
