--- a/testing/platform/fault_soak.py
+++ b/testing/platform/fault_soak.py
@@ -443,20 +443,24 @@
             number = self.random.randrange(WORKERS)
             self.workers[number].leaving = True
             copy = self.store.copy()
-            for _ in range(2):
-                await deferLater(reactor, LIMIT_PERIOD_S / 5, self.change_configuration)
+            await self.change_configuration_twice()
             self.store.restore(copy, cut_watches=self.random.random() < 0.5)
             reactor.callLater(self.random.uniform(0.0, 1.5), self.write_again)
             await deferLater(
                 reactor, LIMIT_PERIOD_S * 3 / 5, partial(self.restart_worker, number)
             )
 
+    async def change_configuration_twice(self) -> None:
+        for _ in range(2):
+            await deferLater(reactor, LIMIT_PERIOD_S / 5, self.change_configuration)
+
+    # Configurations
+
     async def check_configuration(self) -> None:
         """Check that a new route is served in time after the store lost two changes."""
         copy = self.store.copy()
-        for _ in range(2):
-            self.change_configuration()
-            await deferLater(reactor, 1.0, lambda: None)
+        await self.change_configuration_twice()
+        await deferLater(reactor, 1.0, lambda: None)
         self.store.restore(copy)
         self.store.put("config", "main", self.configuration)
         await deferLater(reactor, STABILITY_WINDOW_S, lambda: None)
@@ -466,22 +470,27 @@
         self.store.put("config", "main", self.configuration)
         await deferLater(reactor, CONFIGURATION_APPLY_S, lambda: None)
         for gateway in self.callers:
-            pool = Http1Pool(reactor, gateway, reactor.seconds)
-            attempt = f"late-{gateway}"
-            self.gateway_of[attempt], self.sent_at[attempt] = gateway, reactor.seconds()
-            headers = (("Host", "h"), ("X-Attempt-Id", attempt))
-            exchange = Deferred.fromCoroutine(
-                pool.exchange(HttpRequest("GET", LATE_ROUTE, headers), 1.0)
-            )
-            exchange.addTimeout(4.0, reactor)
-            try:
-                status = (await exchange).status
-            except (ExchangeError, DeferredTimeoutError) as exc:
-                status = type(exc).__name__
-            pool.close()
+            status = await self.call_late_route(gateway)
             if status != 200:
                 self.problems.append(f"{gateway}: {status} on a route added late")
 
+    async def call_late_route(self, gateway: str) -> int | str:
+        """Return the status of a gateway's answer, or how the call failed."""
+        attempt = f"late-{gateway}"
+        self.gateway_of[attempt], self.sent_at[attempt] = gateway, reactor.seconds()
+        headers = (("Host", "h"), ("X-Attempt-Id", attempt))
+        pool = Http1Pool(reactor, gateway, reactor.seconds)
+        exchange = Deferred.fromCoroutine(
+            pool.exchange(HttpRequest("GET", LATE_ROUTE, headers), 1.0)
+        )
+        exchange.addTimeout(4.0, reactor)
+        try:
+            return (await exchange).status
+        except (ExchangeError, DeferredTimeoutError) as exc:
+            return type(exc).__name__
+        finally:
+            pool.close()
+
     # The run
 
     async def run(self, seconds: float) -> None:
