--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -112,17 +112,8 @@
             view.record_end(started_at)
         now = self._node.clock()
         reply = outcome.reply
-        if reply is not None and reply.load is not None:
-            view.observe_load(reply.load, now)
-        if reply is not None and _states_rate_limit(reply):
-            self._record_rate_limit(view, reply.rate_limit, now)
-        if reply is not None and reply.leaving and reply.verdict in OWN_VERDICTS:
-            self._workers.record_leaving(view)
-        if reply is not None and reply.pause_s and reply.verdict in OWN_VERDICTS:
-            self._workers.record_pause(view, reply.pause_s, call.id)
         if reply is not None:
-            view.last_answer_at = now
-            self._suspicion.record_alive(view.entry.id)
+            self._record_reply(view, reply, call.id)
         if reply is not None and reply.verdict is Verdict.ANSWER:
             view.record_success(now - started_at)
             self._suspicion.record_answered(self._suspicion.signature_of(call))
@@ -130,6 +121,23 @@
         self._report_failure(call, chosen, outcome, now - started_at)
         return outcome
 
+    def _record_reply(self, view: WorkerView, reply: WorkerReply, request: str) -> None:
+        """Record what an answer says of its worker, whatever became of the request.
+
+        :param request: identifier of the request.
+        """
+        now = self._node.clock()
+        if reply.load is not None:
+            view.observe_load(reply.load, now)
+        if _states_rate_limit(reply):
+            self._record_rate_limit(view, reply.rate_limit, now)
+        if reply.verdict in OWN_VERDICTS and reply.leaving:
+            self._workers.record_leaving(view)
+        if reply.verdict in OWN_VERDICTS and reply.pause_s:
+            self._workers.record_pause(view, reply.pause_s, request)
+        view.last_answer_at = now
+        self._suspicion.record_alive(view.entry.id)
+
     async def _exchange(
         self, call: ForwardCall, view: WorkerView, deadline: float
     ) -> AttemptOutcome:
