Greet the peers once when the own entry is written again

An instance that finds its entry lost writes it and reads the list at once, and greets every peer after each reading. All instances find their entries lost at about the same time, so that each peer got two full heartbeats from each. The greeting now waits for the second reading. Read in the code; test_own_entry_is_written_again_when_the_store_lost_it passes.

--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -215,8 +215,10 @@
         self.failure_detector.set_entries(
             item.value for item in found.ok.items if item.value is not None
         )
+        if lost:
+            return NO_DELAY
         self.broadcast_heartbeat()
-        return ENTRIES_REREAD_INTERVAL if self._announced else NO_DELAY
+        return ENTRIES_REREAD_INTERVAL
 
     def _back_off(self, detail: str) -> timedelta:
         self._node.sink.emit(AnnouncementFailed(detail))
