Drop a field of worker.leaving that never varied

Since a draining entry marks its worker as leaving, an answer that says so is logged only if the entry did not; the field that told the two apart was always false. The assertion on it is replaced by a test that nothing is logged when the entry came first.

--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -240,15 +240,13 @@
 @final
 @dataclass(frozen=True, slots=True)
 class WorkerLeaving(Event):
-    """A worker's answer says that it is about to stop.
+    """A worker's answer says that it is about to stop, before its entry did.
 
-    :param draining: whether its entry in the store said so before.
     :param entry_age_s: time since its entry was read, in seconds.
     """
 
     worker: str
     service: str
-    draining: bool
     entry_age_s: float
 
 
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -129,7 +129,6 @@
             WorkerLeaving(
                 view.entry.id,
                 view.entry.service,
-                view.entry.draining,
                 round(self._node.clock() - view.seen_at, 3),
             )
         )
