--- a/testing/platform/test_restored_store.py
+++ b/testing/platform/test_restored_store.py
@@ -28,6 +28,13 @@
     await deferLater(reactor, seconds, lambda: None)
 
 
+async def serve_one(site) -> StandInWorker:
+    """Send a request; return the worker that served it."""
+    await site.call()
+    (first,) = [worker for worker in site.workers if worker.ran]
+    return first
+
+
 def put_configuration(site, version: int, *prefixes: str) -> None:
     changed = configuration(version)
     changed["resources"] += [route(prefix, "safe") for prefix in prefixes]
@@ -88,8 +95,7 @@
     run_on_site,
 ) -> None:
     async def scenario(site) -> None:
-        await site.call()
-        (first,) = [worker for worker in site.workers if worker.ran]
+        first = await serve_one(site)
         copy = site.store.copy()
         first.slots += 1
         site.store.put("servers", first.name, first.entry)
@@ -111,8 +117,7 @@
     run_on_site,
 ) -> None:
     async def scenario(site) -> None:
-        await site.call()
-        (first,) = [worker for worker in site.workers if worker.ran]
+        first = await serve_one(site)
         copy = site.store.copy()
         site.store.remove("servers", first.name)
         await site.wait_until(lambda: site.events("worker.removed"))
--- a/testing/platform/test_sources.py
+++ b/testing/platform/test_sources.py
@@ -89,6 +89,11 @@
     def put_configuration(self, version: int) -> None:
         self.store.put("config", "main", configuration(version))
 
+    async def apply_configuration(self, version: int) -> None:
+        """Write a configuration and wait until all have it in force in time."""
+        self.put_configuration(version)
+        await self.wait_until(lambda: self.in_force(version), IN_FORCE_S)
+
     def in_force(self, version: int, names=None) -> bool:
         return all(
             self.part(name, Routes).version == version
@@ -198,15 +203,11 @@
     async def scenario(fleet) -> None:
         copy = fleet.store.copy()
         for version in (2, 3, 4):
-            fleet.put_configuration(version)
-            await fleet.wait_until(
-                lambda version=version: fleet.in_force(version), IN_FORCE_S
-            )
+            await fleet.apply_configuration(version)
         fleet.store.restore(copy)
         fleet.put_configuration(4)
         await deferLater(reactor, STABLE_S, lambda: None)
-        fleet.put_configuration(5)
-        await fleet.wait_until(lambda: fleet.in_force(5), IN_FORCE_S)
+        await fleet.apply_configuration(5)
 
     run_fleet(scenario)
 
@@ -219,16 +220,12 @@
     async def scenario(fleet) -> None:
         copy = fleet.store.copy()
         for version in (2, 3, 4):
-            fleet.put_configuration(version)
-            await fleet.wait_until(
-                lambda version=version: fleet.in_force(version), IN_FORCE_S
-            )
+            await fleet.apply_configuration(version)
         await deferLater(reactor, IN_FORCE_S, lambda: None)
         fleet.store.restore(copy, cut_watches=False)
         fleet.put_configuration(4)
         await deferLater(reactor, STABLE_S, lambda: None)
-        fleet.put_configuration(5)
-        await fleet.wait_until(lambda: fleet.in_force(5), IN_FORCE_S)
+        await fleet.apply_configuration(5)
 
     run_fleet(scenario)
 
