Review: a script that is stopped ends its processes

Cause: a script that got SIGTERM left its gateways running. Change: SIGTERM cancels the case, which then ends them.

--- a/review/stand.py
+++ b/review/stand.py
@@ -641,6 +641,10 @@
     record(f"begin, with{'' if TROUBLE else 'out'} the disruption")
 
     async def play() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # A case that is stopped ends its processes too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             return await asyncio.wait_for(main(record, path), MAX_SECONDS)
         finally:
@@ -650,7 +654,7 @@
 
     try:
         code = asyncio.run(play())
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         record(f"could not run: {type(exc).__name__}: {exc}")
         print(f"could not run: {type(exc).__name__}: {exc}")
         return COULD_NOT_RUN
