Add the types of customers, of quotas and of a worker's speed

Cause: the parts for hard load are built side by side and need the same types. Change: Customer, ForwardCall.key_digest, ForwardingRoute.public, LoadReport.slowdown, the error kind quota-exceeded (429), and the customer in Dialect.encode_attempt. Without customers in the configuration headers pass unchanged.

--- a/packages/gateway/src/sycamorenotch_gateway/_dialect.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_dialect.py
@@ -32,12 +32,19 @@
         ...
 
     def encode_attempt(
-        self, call: ForwardCall, worker: str, remaining_s: float
+        self,
+        call: ForwardCall,
+        worker: str,
+        remaining_s: float,
+        customer: str | None = None,
     ) -> HttpRequest:
         """Encode a request for one worker.
 
         :param worker: identifier of the only worker that may run it.
         :param remaining_s: time left before the deadline, in seconds.
+        :param customer: name of the customer that sent it, empty on a public route;
+            none if the configuration has no customers, so that headers about
+            customers pass unchanged.
         """
         ...
 
--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -58,9 +58,11 @@
 from sycamorenotch_kernel._feeds import Position
 from sycamorenotch_kernel._feeds import Topic
 from sycamorenotch_kernel._forwarding import CALLER_ERROR_STATUSES
+from sycamorenotch_kernel._forwarding import KEY_DIGEST_BYTES
 from sycamorenotch_kernel._forwarding import NOT_RUN_STATUS
 from sycamorenotch_kernel._forwarding import UNKNOWN_OUTCOME_STATUS
 from sycamorenotch_kernel._forwarding import ClientLimits
+from sycamorenotch_kernel._forwarding import Customer
 from sycamorenotch_kernel._forwarding import ForwardCall
 from sycamorenotch_kernel._forwarding import ForwardingConfiguration
 from sycamorenotch_kernel._forwarding import ForwardingRoute
@@ -75,6 +77,7 @@
 from sycamorenotch_kernel._forwarding import WeightedService
 from sycamorenotch_kernel._forwarding import WorkerEntry
 from sycamorenotch_kernel._forwarding import WorkerReply
+from sycamorenotch_kernel._forwarding import digest_key
 from sycamorenotch_kernel._identifiers import IDENTIFIER_BITS
 from sycamorenotch_kernel._identifiers import AttemptId
 from sycamorenotch_kernel._identifiers import DecisionId
@@ -151,6 +154,7 @@
     "CALLER_ERROR_STATUSES",
     "DEFAULT_RECORD_LIMIT",
     "IDENTIFIER_BITS",
+    "KEY_DIGEST_BYTES",
     "NOT_RUN_STATUS",
     "PLUGIN_GROUP",
     "REGISTRIES",
@@ -173,6 +177,7 @@
     "Clock",
     "ConfigurationPush",
     "ConfigurationRequest",
+    "Customer",
     "DecisionId",
     "DecisionKind",
     "DecisionLog",
@@ -265,6 +270,7 @@
     "commands",
     "components",
     "dialects",
+    "digest_key",
     "document_sections",
     "error_answers",
     "event",
--- a/packages/kernel/src/sycamorenotch_kernel/_errors.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_errors.py
@@ -39,6 +39,7 @@
     NOT_FOUND = "not-found"
     NOT_READY = "not-ready"
     STOPPING = "stopping"
+    QUOTA_EXCEEDED = "quota-exceeded"
     OVERLOADED = "overloaded"
     DEADLINE_HOPELESS = "deadline-hopeless"
     SHIFT_CAPPED = "shift-capped"
@@ -89,7 +90,7 @@
         408, Ran.NO, "The request was not received in time", True
     ),
     ErrorKind.UNAUTHORIZED: ErrorAnswer(
-        401, Ran.NO, "A valid bearer token is required"
+        401, Ran.NO, "A valid token or key is required"
     ),
     ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(404, Ran.NO, "The service is not known"),
     ErrorKind.UNKNOWN_ROUTE: ErrorAnswer(404, Ran.NO, "The service has no such route"),
@@ -101,6 +102,9 @@
         503, Ran.NO, "The instance has no configuration in force", True
     ),
     ErrorKind.STOPPING: ErrorAnswer(503, Ran.NO, "The instance is stopping", True),
+    ErrorKind.QUOTA_EXCEEDED: ErrorAnswer(
+        429, Ran.NO, "The customer has used up its quota", True
+    ),
     ErrorKind.OVERLOADED: ErrorAnswer(
         503, Ran.NO, "There is no room for this work", True
     ),
--- a/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from enum import Enum
 from enum import unique
+from hashlib import blake2b
 from typing import final
 
 from sycamorenotch_kernel._calls import Headers
@@ -14,10 +15,11 @@
 from sycamorenotch_kernel._errors import ErrorKind
 from sycamorenotch_kernel._errors import Ran
 
+KEY_DIGEST_BYTES = 16
 # Guarantees that the request has not run and never will.
 NOT_RUN_STATUS = 503
 # The request itself cannot be served; these statuses are returned as they are.
-CALLER_ERROR_STATUSES = frozenset({400, 404, 405, 408, 413, 431})
+CALLER_ERROR_STATUSES = frozenset({400, 401, 404, 405, 408, 413, 429, 431})
 # States nothing about execution: the outcome of the request is unknown.
 UNKNOWN_OUTCOME_STATUS = 502
 
@@ -64,6 +66,7 @@
     :param sticky: whether requests for the same object prefer the same worker,
         which answers faster for objects that it has cached.
     :param homes: regions that may serve the route; empty if every region may.
+    :param public: whether callers need no key.
     """
 
     name: str
@@ -77,6 +80,34 @@
     attempts: int = 1
     sticky: bool = False
     homes: frozenset[str] = frozenset()
+    public: bool = False
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer, whose callers identify themselves with keys.
+
+    :param key_digests: digests of its keys, by :func:`digest_key`.
+    :param priority: rank of its requests, in place of the route's; none if the
+        route's applies.
+    :param rate: requests per second that it may send to all instances together; 0 if
+        unlimited.
+    :param burst: requests that it may send on top of the rate.
+    :param homes: regions that may serve it; empty if every region may.
+    """
+
+    name: str
+    key_digests: frozenset[str]
+    priority: int | None = None
+    rate: float = 0.0
+    burst: float = 0.0
+    homes: frozenset[str] = frozenset()
+
+
+def digest_key(key: str) -> str:
+    """Return the digest of a caller's key, as only digests are stored and compared."""
+    return blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES).hexdigest()
 
 
 @final
@@ -117,12 +148,13 @@
 @final
 @dataclass(frozen=True, slots=True)
 class ForwardingConfiguration:
-    """One version of the routes, services and limits.
+    """One version of the routes, services, customers and limits.
 
     :param version: version number that the operator wrote into the object. It rises
         with each configuration.
     :param revision: revision of the object in the store, for the log.
     :param services: limits of each service by its name.
+    :param customers: customers with keys; if there are none, callers need no key.
     """
 
     version: int
@@ -130,6 +162,7 @@
     routes: tuple[ForwardingRoute, ...]
     services: Mapping[str, ServiceLimits]
     limits: ClientLimits
+    customers: tuple[Customer, ...] = ()
 
 
 @final
@@ -201,6 +234,7 @@
         routing; empty if none.
     :param patience_s: time left until the caller's own timeout, in seconds, if
         the caller states it.
+    :param key_digest: digest of the caller's key; empty if it sent none.
     """
 
     id: str
@@ -211,6 +245,7 @@
     body: bytes
     object_key: str = ""
     patience_s: float | None = None
+    key_digest: str = ""
 
     @property
     def path(self) -> str:
@@ -226,11 +261,14 @@
     :param running: requests that the worker is processing.
     :param waiting: requests in the worker's queue.
     :param slots: number of requests that it processes at the same time.
+    :param slowdown: how long work takes on its machine at this moment, as a multiple
+        of the usual time; none if the worker does not state it.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @final
