--- a/packages/gateway/src/sycamorenotch_gateway/_settings.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_settings.py
@@ -77,11 +77,15 @@
     :param processor_share: fraction of the processor time.
     :param processor_speed: capacity of the processor, in cores.
     :param link_mbps: bandwidth in each direction, in Mbit/s.
+    :param memory_mb: memory of the process, in megabytes.
+    :param descriptors: open files and sockets of the process.
     """
 
     processor_share: Positive = 1.0
     processor_speed: Positive = 1.0
     link_mbps: Positive = 1000.0
+    memory_mb: Positive = 300.0
+    descriptors: Annotated[int, Field(gt=0)] = 4_096
 
 
 @section(GATEWAY_KINDS, "bounds", named=False, required=False)
@@ -95,6 +99,13 @@
     :param retry_ratio: retries allowed per request, over ``retry_window``.
     :param extra_retries: further retries in each ``retry_window``, for all instances
         together.
+    :param fail_closed: whether keys are refused while the configuration may be older
+        than ``revocation``.
+    :param revocation: maximum time from a configuration that takes a key away until no
+        request with that key runs.
+    :param quota_window: time span in which a customer's quota holds.
+    :param quota_overage: fraction by which a quota may be exceeded in that span.
+    :param quota_slack: further requests in that span, for all instances together.
     """
 
     grace: Duration = timedelta(seconds=6)
@@ -103,6 +114,11 @@
     retry_ratio: Number = 0.2
     retry_window: Duration = timedelta(seconds=10)
     extra_retries: Number = 50
+    fail_closed: bool = False
+    revocation: Duration = timedelta(seconds=5)
+    quota_window: Duration = timedelta(seconds=5)
+    quota_overage: Number = 0.1
+    quota_slack: Number = 20
 
 
 @section(GATEWAY_KINDS, "answers", named=False, required=False)
@@ -133,6 +149,7 @@
     dialect: str
     store: str
     resources: Resources
+    machine: MachineSection = field(default_factory=MachineSection)
     bounds: BoundsSection = field(default_factory=BoundsSection)
     response_limits: ResponseLimits = field(default_factory=ResponseLimits)
 
@@ -161,6 +178,7 @@
         resources=Resources(
             machine.processor_share * machine.processor_speed, machine.link_mbps
         ),
+        machine=machine,
         bounds=sections["bounds"].get("", BoundsSection()),
         response_limits=ResponseLimits(answers.max_bytes, answers.buffered_bytes),
     )
--- a/testing/gateway/test_settings.py
+++ b/testing/gateway/test_settings.py
@@ -30,6 +30,8 @@
     "limits.cpu_share": "0.717",
     "limits.cores": "3",
     "limits.link_mbps": "200.0",
+    "limits.memory_mb": "552",
+    "limits.max_file_descriptors": "8192",
     "bounds.grace": "6s",
     "bounds.ttl_max": "5s",
     "bounds.stability_window": "4000ms",
@@ -37,6 +39,14 @@
     "bounds.budget_window": "10s",
     "bounds.budget_extra_retries": "60",
 }
+# Where a deployment has customers with keys and quotas.
+CUSTOMER_FIELDS = {
+    "bounds.fail_closed": "true",
+    "bounds.revocation": "5000ms",
+    "bounds.quota_window": "5s",
+    "bounds.quota_overage": "0.1",
+    "bounds.quota_slack": "20",
+}
 ZONES = {"a": "west", "b": "east"}
 
 
@@ -51,6 +61,13 @@
     )
     text = section.sub(lambda _: zones, text)
     fields = {**FIELDS, **changes}
+    # A section of one value is written only if the deployment has that value.
+    text = re.sub(
+        r"\{\{#([a-z_.]+)\}\}\n(.*?)\{\{/\1\}\}\n",
+        lambda found: found.group(2) if found.group(1) in fields else "",
+        text,
+        flags=re.S,
+    )
     return re.sub(r"\{\{([^}]*)\}\}", lambda found: fields[found.group(1)], text)
 
 
@@ -63,6 +80,16 @@
     assert settings.bounds.grace == timedelta(seconds=6)
     assert settings.bounds.retry_ratio == 0.2
     assert settings.bounds.stability_window == timedelta(seconds=4)
+    assert settings.machine.memory_mb == 552
+    assert settings.machine.descriptors == 8192
+    assert not settings.bounds.fail_closed
+
+
+def test_template_gives_bounds_of_customers_where_a_deployment_has_them() -> None:
+    bounds = parse_gateway_settings(render(**CUSTOMER_FIELDS)).bounds
+    assert bounds.fail_closed
+    assert bounds.revocation == bounds.quota_window == timedelta(seconds=5)
+    assert (bounds.quota_overage, bounds.quota_slack) == (0.1, 20)
 
 
 @pytest.mark.parametrize(
