Handle pipelined requests of a connection concurrently

Cause: requests on one connection ran one after the other, so half of the requests of pipelined kinds were late while capacity was free. Change: each request in progress has its own parser; GET, HEAD and OPTIONS start beside others up to 32 per connection, any other method waits for those before it, and responses keep the order of the requests. Beyond the limit reading pauses. A response closes the connection only if no request behind it was started; a malformed request is rejected in its turn.

--- /dev/null
+++ b/packages/transport/src/sycamorenotch_transport/_http1_exchange.py
@@ -0,0 +1,94 @@
+"""One request of a client and its response."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import final
+
+import h11
+from twisted.internet.defer import Deferred
+
+from sycamorenotch_transport._http1_messages import HttpRequest
+from sycamorenotch_transport._http1_messages import HttpResponse
+from sycamorenotch_transport._http1_messages import decode_headers
+from sycamorenotch_transport._http1_messages import encode_headers
+
+BODILESS_STATUS = frozenset({204, 304})
+CLOSE_HEADER = ("Connection", "close")
+SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
+
+
+@final
+class Exchange:
+    """A request that is being received or handled, and its response.
+
+    :param http: parser of the request and encoder of the response. A request that
+        is read while another one is unanswered has its own.
+    """
+
+    __slots__ = (
+        *("body", "body_bytes", "complete", "followed", "fut", "head", "http"),
+        "response",
+    )
+
+    def __init__(self, http: h11.Connection) -> None:
+        self.http = http
+        self.head: h11.Request | None = None
+        self.body = bytearray()
+        # Size of the body while this connection or its handler holds it.
+        self.body_bytes = 0
+        self.complete = False
+        # Whether the parser holds bytes of the requests behind this one.
+        self.followed = False
+        self.fut: Deferred[Any] | None = None
+        self.response: HttpResponse | None = None
+
+    @property
+    def concurrent(self) -> bool:
+        """Whether the request may run together with those before and behind it."""
+        assert self.head is not None
+        return self.head.method in SAFE_METHODS and self.http.their_state in (
+            h11.DONE,
+            h11.MUST_CLOSE,
+        )
+
+    @property
+    def ends_input(self) -> bool:
+        """Whether the client or the protocol version rules out another request."""
+        return self.http.their_state in (h11.MUST_CLOSE, h11.CLOSED)
+
+    def take_request(self) -> HttpRequest:
+        """Return the complete request and release its body."""
+        head = self.head
+        assert head is not None
+        body, self.body = self.body, bytearray()
+        return HttpRequest(
+            head.method.decode("latin-1"),
+            head.target.decode("latin-1"),
+            decode_headers(head.headers.raw_items()),
+            bytes(body),
+        )
+
+    def encode(self, response: HttpResponse, last: bool) -> bytes:
+        """Encode a response.
+
+        :param last: whether the connection is closed after it.
+        """
+        headers = list(response.headers)
+        if not any(k.lower() == "content-length" for k, _ in headers) and (
+            response.status not in BODILESS_STATUS
+        ):
+            headers.append(("Content-Length", str(len(response.body))))
+        if last:
+            headers.append(CLOSE_HEADER)
+        head = h11.Response(
+            status_code=response.status,
+            headers=encode_headers(tuple(headers)),
+            reason=response.reason.encode("latin-1"),
+        )
+        out = [self.http.send(head)]
+        head_request = self.head is not None and self.head.method == b"HEAD"
+        if response.body and not head_request:
+            out.append(self.http.send(h11.Data(data=response.body)))
+        out.append(self.http.send(h11.EndOfMessage()))
+        return b"".join(filter(None, out))
--- a/packages/transport/src/sycamorenotch_transport/_http1_messages.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_messages.py
@@ -63,6 +63,8 @@
     :param header_timeout_s: maximum time to receive a request line and headers.
     :param idle_timeout_s: time after which an idle connection is closed.
     :param buffered_bytes: maximum size of all request bodies in memory together.
+    :param pipelined_requests: maximum number of requests of one connection that are
+        handled at the same time.
     """
 
     header_bytes: int = 16_384
@@ -70,6 +72,7 @@
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
     buffered_bytes: int = 67_108_864
+    pipelined_requests: int = 32
 
 
 def get_header(headers: HeaderPairs, name: str) -> str:
