--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -129,6 +129,8 @@
         now = self._node.clock()
         if reply.load is not None:
             view.observe_load(reply.load, now)
+        if reply.ignored_load:
+            self._workers.report_ignored_load(view, reply.ignored_load)
         if _states_rate_limit(reply):
             self._record_rate_limit(view, reply.rate_limit, now)
         if reply.verdict in OWN_VERDICTS and reply.leaving:
--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -277,6 +277,22 @@
     service: str
 
 
+@event(6211, "worker.load-ignored", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class WorkerLoadIgnored(Event):
+    """A worker states a load with figures that are malformed or absurd.
+
+    These figures are ignored. It is reported once for each start of a worker.
+
+    :param load: the load as the worker states it, cut off after some characters.
+    """
+
+    worker: str
+    service: str
+    load: str
+
+
 @event(6301, "store.lost", Severity.WARNING)
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -14,6 +14,7 @@
 from sycamorenotch_gateway._events import WorkerChanged
 from sycamorenotch_gateway._events import WorkerEntryIgnored
 from sycamorenotch_gateway._events import WorkerLeaving
+from sycamorenotch_gateway._events import WorkerLoadIgnored
 from sycamorenotch_gateway._events import WorkerPaused
 from sycamorenotch_gateway._events import WorkerRemoved
 from sycamorenotch_gateway._events import WorkerResumed
@@ -152,6 +153,13 @@
                 )
             )
 
+    def report_ignored_load(self, view: WorkerView, load: str) -> None:
+        """Log once that a worker states a load that is ignored in part or whole."""
+        if view.load_ignored:
+            return
+        view.load_ignored = True
+        self._node.sink.emit(WorkerLoadIgnored(view.entry.id, view.entry.service, load))
+
     def _report_resumed(self, now: float) -> None:
         ended = [name for name, v in self._paused.items() if now >= v.paused_until]
         for name in ended:
--- a/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_forwarding.py
@@ -301,6 +301,8 @@
     :param leaving: whether the worker says that it is about to stop.
     :param pause_s: time for which the worker wants no requests of this instance, in
         seconds; none if it states none.
+    :param ignored_load: the load as the worker states it, if any of its figures is
+        malformed or absurd and therefore ignored; empty otherwise.
     """
 
     verdict: Verdict
@@ -312,6 +314,7 @@
     rate_limit: float | None = None
     leaving: bool = False
     pause_s: float | None = None
+    ignored_load: str = ""
 
 
 @final
--- a/packages/policies/src/sycamorenotch_policies/_worker_view.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_view.py
@@ -73,6 +73,7 @@
     :param last_answer_at: time of the last answer to this instance.
     :param last_sent_at: time of the last request of this instance.
     :param sent: send times of the requests of the last second.
+    :param load_ignored: whether figures of its load reports had to be ignored.
     :param in_flight_since: send times of the requests in flight.
     """
 
@@ -98,6 +99,7 @@
     last_answer_at: float = -1e9
     last_sent_at: float = -1e9
     sent: deque[float] = field(default_factory=deque)
+    load_ignored: bool = False
     in_flight_since: list[float] = field(default_factory=list)
 
     @property
