--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -221,7 +221,7 @@
             race.call.object_key,
             frozenset(progress.tried),
         )
-        views = self._workers.directory.usable(progress.service, now)
+        views = self._workers.directory.known(progress.service)
         choice = self._choice.choose(wanted, views, now)
         if isinstance(choice, NoCapacity):
             return self._overload_refusal(choice, now, progress.service)
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -127,11 +127,11 @@
 from sycamorenotch_policies._topic_sources import TopicSources
 from sycamorenotch_policies._topic_sources import choose_watchers
 from sycamorenotch_policies._usage_meter import UsageMeter
-from sycamorenotch_policies._worker_choice import ChosenWorker
-from sycamorenotch_policies._worker_choice import NoCapacity
-from sycamorenotch_policies._worker_choice import WorkerChoice
-from sycamorenotch_policies._worker_choice import WorkerRequest
 from sycamorenotch_policies._worker_directory import WorkerDirectory
+from sycamorenotch_policies._worker_request import ChosenWorker
+from sycamorenotch_policies._worker_request import NoCapacity
+from sycamorenotch_policies._worker_request import WorkerChoice
+from sycamorenotch_policies._worker_request import WorkerRequest
 from sycamorenotch_policies._worker_state import LoadReport
 from sycamorenotch_policies._worker_state import WorkerState
 from sycamorenotch_policies._worker_table import ChoiceSetup
--- a/packages/policies/src/sycamorenotch_policies/_worker_choice.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_choice.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
-from math import log
+from collections.abc import Iterable
+from itertools import islice
 from random import Random
-from typing import Protocol
 from typing import final
 
-from sycamorenotch_kernel import ForwardingRoute
 from sycamorenotch_kernel import RequestKind
 from sycamorenotch_kernel import ServiceLimits
 from sycamorenotch_kernel import worker_choices
+from sycamorenotch_policies._object_owners import ObjectOwners
 from sycamorenotch_policies._rate_shares import RateShares
-from sycamorenotch_policies._return_schedule import ReturnSchedule
-from sycamorenotch_policies._route_table import hash_to_unit_interval
+from sycamorenotch_policies._worker_filter import WorkerFilter
+from sycamorenotch_policies._worker_filter import drop_unresponsive
+from sycamorenotch_policies._worker_request import DEFAULT_LATENCY_S
+from sycamorenotch_policies._worker_request import MIN_RETRY_AFTER_S
+from sycamorenotch_policies._worker_request import ChosenWorker
+from sycamorenotch_policies._worker_request import MayWarmUp
+from sycamorenotch_policies._worker_request import NoCapacity
+from sycamorenotch_policies._worker_request import WorkerRequest
 from sycamorenotch_policies._worker_view import WorkerView
 
 # Requests per slot, above which a request would be too late at most workers.
@@ -26,66 +30,6 @@
 OWNERS_PER_OBJECT = 2
 OWNERS_PER_OBJECT_WHEN_BUSY = 1
 BUSY_LOAD_PER_SLOT = 1.0
-# Assumed latency of a worker that has not answered yet.
-DEFAULT_LATENCY_S = 0.5
-MIN_RETRY_AFTER_S = 0.2
-
-MayWarmUp = Callable[[str], bool]
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class WorkerRequest:
-    """A request that needs a worker.
-
-    :param object_key: affinity key; if it is empty, the owners are random.
-    :param tried: identifiers of workers that received the request already.
-    """
-
-    route: ForwardingRoute
-    service: str
-    object_key: str
-    tried: frozenset[str] = frozenset()
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class ChosenWorker:
-    """The worker chosen for a request.
-
-    :param load: estimated requests per slot, running and queued.
-    :param reason: why this worker was chosen, for the log.
-    """
-
-    view: WorkerView
-    load: float
-    reason: str
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class NoCapacity:
-    """No worker can accept the request now.
-
-    :param reason: detail of the refusal.
-    :param retry_after_s: time after which the caller may retry, in seconds.
-    """
-
-    reason: str
-    retry_after_s: float
-
-
-class WorkerChoice(Protocol):
-    """Strategy that chooses a worker for each request."""
-
-    def choose(
-        self, request: WorkerRequest, views: tuple[WorkerView, ...], now: float
-    ) -> ChosenWorker | NoCapacity:
-        """Choose among the usable workers of the service.
-
-        :param now: monotonic time in seconds.
-        """
-        ...
 
 
 @worker_choices.register("affinity")
@@ -115,39 +59,19 @@
         shares: RateShares | None = None,
     ) -> None:
         self._region = region
-        self._limits = limits
-        self._may_warm_up = may_warm_up
-        self._random = random
-        self._shares = shares or RateShares("", dict, tuple)
-        self._returns = ReturnSchedule()
+        self._filter = WorkerFilter(limits, may_warm_up, shares)
+        self._owners = ObjectOwners(random)
 
     def choose(
         self, request: WorkerRequest, views: tuple[WorkerView, ...], now: float
     ) -> ChosenWorker | NoCapacity:
-        """Choose among the usable workers of the service.
+        """Choose among the workers of the service.
 
         :param now: monotonic time in seconds.
         """
-        homes = request.route.homes
-        eligible = [
-            view
-            for view in views
-            if view.entry.id not in request.tried
-            and (not homes or view.region in homes)
-        ]
-        candidates = [
-            view
-            for view in eligible
-            if now >= view.paused_until and self._is_warm_enough(view, now)
-        ]
-        allowed = [view for view in candidates if self._is_within_share(view, now)]
-        if not allowed:
-            paused = [view for view in eligible if now < view.paused_until]
-            if paused and not candidates:
-                return self._refusal_until_resumed(request, paused, now)
-            return self._refusal(request, candidates, now)
-        responsive = [view for view in allowed if now < view.unresponsive_from()]
-        owners = self._owners(request, responsive or allowed, now)
+        owners = self._first_owners(request, views, now)
+        if not owners:
+            return self._filter.refusal(request, views, now)
         for index, view in enumerate(owners):
             load = view.load(now) / view.entry.slots
             if load < MAX_LOAD_PER_SLOT:
@@ -157,76 +81,33 @@
         wait = excess * (first.latency_s or DEFAULT_LATENCY_S)
         return NoCapacity("every owner has a long queue", max(MIN_RETRY_AFTER_S, wait))
 
-    def _refusal(
-        self, request: WorkerRequest, candidates: list[WorkerView], now: float
-    ) -> NoCapacity:
-        """Refuse a request that no worker can accept.
+    def _first_owners(
+        self, request: WorkerRequest, views: tuple[WorkerView, ...], now: float
+    ) -> list[WorkerView]:
+        """Return the owners that may get the request.
 
-        :param candidates: workers that only their rate limits exclude.
+        Unresponsive workers are owners only if every other worker is excluded.
         """
-        if not candidates:
-            return NoCapacity(
-                "no worker of the service can accept the request", MIN_RETRY_AFTER_S
-            )
-        allowances = [view.rate.allowance for view in candidates]
-        wait_s = min(allowance.wait_s(now) for allowance in allowances)
-        rate = sum(allowance.rate for allowance in allowances)
-        return NoCapacity(
-            "every worker has had its share of requests",
-            max(
-                MIN_RETRY_AFTER_S,
-                self._returns.next_s(request.route.priority, wait_s, rate, now),
-            ),
-        )
-
-    def _refusal_until_resumed(
-        self, request: WorkerRequest, paused: list[WorkerView], now: float
-    ) -> NoCapacity:
-        """Refuse a request until the first worker that pauses takes requests again."""
-        wait_s = min(view.paused_until for view in paused) - now
-        rate = sum(
-            view.entry.slots / (view.latency_s or DEFAULT_LATENCY_S) for view in paused
-        )
-        return NoCapacity(
-            "every worker that could accept the request asked for a pause",
-            max(
-                MIN_RETRY_AFTER_S,
-                self._returns.next_s(request.route.priority, wait_s, rate, now),
-            ),
-        )
-
-    def _is_within_share(self, view: WorkerView, now: float) -> bool:
-        if view.rate.limit is None:
-            return True
-        self._shares.update(view.entry.id, view.entry.service, view.rate, now)
-        return view.rate.allowance.is_available(now)
-
-    def _is_warm_enough(self, view: WorkerView, now: float) -> bool:
-        if now >= view.cold_until:
-            return True
-        limits = self._limits.get(view.entry.service)
-        rate = 1.0 if limits is None or limits.cold_rate <= 0 else limits.cold_rate
-        if not self._may_warm_up(view.entry.id):
-            return False
-        return view.has_room_at(rate, now)
-
-    def _owners(
-        self, request: WorkerRequest, views: list[WorkerView], now: float
+        key = request.object_key if request.route.sticky else ""
+        ordered = self._owners.ordered(request.service, key, views)
+        accepted = (v for v in ordered if self._filter.accepts(request, v, now))
+        silent: list[WorkerView] = []
+        responsive = drop_unresponsive(accepted, silent, now)
+        return self._pick(request, responsive, now) or self._pick(request, silent, now)
+
+    def _pick(
+        self, request: WorkerRequest, ordered: Iterable[WorkerView], now: float
     ) -> list[WorkerView]:
-        key = request.object_key
-        if not key or not request.route.sticky:
-            key = str(self._random.random())
-        ordered = sorted(views, key=lambda view: self._owner_score(key, view))
-        busy = views[0].service_load.per_slot(now) >= BUSY_LOAD_PER_SLOT
+        views = iter(ordered)
+        first = next(views, None)
+        if first is None:
+            return []
+        busy = first.service_load.per_slot(now) >= BUSY_LOAD_PER_SLOT
         count = OWNERS_PER_OBJECT_WHEN_BUSY if busy else OWNERS_PER_OBJECT
         if request.route.kind is not RequestKind.DOWNLOAD:
-            return ordered[:count]
+            return [first, *islice(views, count - 1)]
         # Sending a large answer between regions costs more than a second owner.
-        local = [view for view in ordered if view.region == self._region]
-        remote = [view for view in ordered if view.region != self._region]
+        rest = [first, *views]
+        local = [view for view in rest if view.region == self._region]
+        remote = [view for view in rest if view.region != self._region]
         return local[:count] + remote[:1]
-
-    def _owner_score(self, key: str, view: WorkerView) -> float:
-        """Return the weighted rendezvous score; the lowest scores own the object."""
-        uniform = hash_to_unit_interval(key, view.entry.id) or 1e-12
-        return -log(uniform) / view.entry.slots
--- /dev/null
+++ b/packages/policies/src/sycamorenotch_policies/_worker_request.py
@@ -0,0 +1,72 @@
+"""What a choice of a worker is given, and what it returns."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+from typing import final
+
+from sycamorenotch_kernel import ForwardingRoute
+from sycamorenotch_policies._worker_view import WorkerView
+
+# Assumed latency of a worker that has not answered yet.
+DEFAULT_LATENCY_S = 0.5
+MIN_RETRY_AFTER_S = 0.2
+
+MayWarmUp = Callable[[str], bool]
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class WorkerRequest:
+    """A request that needs a worker.
+
+    :param object_key: affinity key; if it is empty, the owners are random.
+    :param tried: identifiers of workers that received the request already.
+    """
+
+    route: ForwardingRoute
+    service: str
+    object_key: str
+    tried: frozenset[str] = frozenset()
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ChosenWorker:
+    """The worker chosen for a request.
+
+    :param load: estimated requests per slot, running and queued.
+    :param reason: why this worker was chosen, for the log.
+    """
+
+    view: WorkerView
+    load: float
+    reason: str
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class NoCapacity:
+    """No worker can accept the request now.
+
+    :param reason: detail of the refusal.
+    :param retry_after_s: time after which the caller may retry, in seconds.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+class WorkerChoice(Protocol):
+    """Strategy that chooses a worker for each request."""
+
+    def choose(
+        self, request: WorkerRequest, views: tuple[WorkerView, ...], now: float
+    ) -> ChosenWorker | NoCapacity:
+        """Choose among the workers of the service; those in backoff get no request.
+
+        :param now: monotonic time in seconds.
+        """
+        ...
