--- a/testing/platform/test_models.py
+++ b/testing/platform/test_models.py
@@ -79,6 +79,13 @@
         {"service": None},
         {"cold_remaining": 3},
         {"born": "yesterday"},
+        # Connecting to these raised an error in the request that chose the worker.
+        {"address": "10.0.0.1:99999"},
+        {"address": "10.0.0.1:0"},
+        {"address": "999.0.0.1:80"},
+        {"address": "10.0.0.1:\u0668\u0660"},
+        # The time until the worker is warm was infinite.
+        {"cold_remaining": "9" * 400 + "s"},
     ],
 )
 def test_malformed_worker_entry_is_a_problem(change) -> None:
