Close a connection after a response without an identifier

Cause: a response without an identifier was taken for the response to any request. The late second copy of a full worker's 503 counted as proof that the next request on the connection had not run, although the worker ran it. A request without an identifier took any response. Change: the dialect says whether a response is of another request, of this one, or without an identifier; after the last the connection is closed, so that no copy of it can meet a later request.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -172,9 +172,12 @@
             self._workers.pool(view).exchange(
                 dialect.encode_attempt(call, view.entry.id, remaining_s),
                 min(CONNECT_TIMEOUT_S, remaining_s),
-                lambda response: dialect.matches_request(call, response),
+                lambda response: dialect.match_response(call, response),
                 self._workers.idle_timeout(view.entry.service).max_idle_s(now),
                 progress.start_response,
+                # Without an identifier, a late answer to an earlier request could not
+                # be told from the answer to this one.
+                reuse=bool(call.id),
             )
         )
         return exchange.addTimeout(remaining_s + DEADLINE_GRACE_S, self._node.reactor)
--- a/packages/gateway/src/sycamorenotch_gateway/_dialect.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_dialect.py
@@ -13,6 +13,7 @@
 from sycamorenotch_kernel import WorkerReply
 from sycamorenotch_transport import HttpRequest
 from sycamorenotch_transport import HttpResponse
+from sycamorenotch_transport import ResponseMatch
 
 
 @final
@@ -48,8 +49,10 @@
         """
         ...
 
-    def matches_request(self, call: ForwardCall, response: HttpResponse) -> bool:
-        """Whether a worker's answer belongs to this request."""
+    def match_response(
+        self, call: ForwardCall, response: HttpResponse
+    ) -> ResponseMatch:
+        """Return whether a worker's answer belongs to this request."""
         ...
 
     def decode_reply(self, response: HttpResponse) -> WorkerReply:
--- a/packages/transport/src/sycamorenotch_transport/__init__.py
+++ b/packages/transport/src/sycamorenotch_transport/__init__.py
@@ -14,6 +14,7 @@
     from sycamorenotch_transport._bounded_http import RejectionResponse
     from sycamorenotch_transport._bounded_http import RequestLimits
     from sycamorenotch_transport._http1_client import ExchangeError
+    from sycamorenotch_transport._http1_client import ResponseMatch
     from sycamorenotch_transport._http1_messages import HeaderPairs
     from sycamorenotch_transport._http1_messages import HttpLimits
     from sycamorenotch_transport._http1_messages import HttpRequest
@@ -49,6 +50,7 @@
     "RejectionResponse": "_bounded_http",
     "RejectionReason": "_bounded_http",
     "ResponseBuffers": "_response_buffers",
+    "ResponseMatch": "_http1_client",
     "ResponseLimits": "_response_buffers",
     "get_header": "_http1_messages",
     "install_literal_resolver": "_resolver",
@@ -74,6 +76,7 @@
     "RequestLimits",
     "ResponseBuffers",
     "ResponseLimits",
+    "ResponseMatch",
     "get_header",
     "install_literal_resolver",
     "strip_hop_by_hop_headers",
--- a/packages/transport/src/sycamorenotch_transport/_http1_client.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -4,6 +4,8 @@
 
 import re
 from collections.abc import Callable
+from enum import Enum
+from enum import unique
 from itertools import count
 from typing import Any
 from typing import final
@@ -33,7 +35,22 @@
 # ``Keep-Alive: timeout``.
 DEFAULT_MAX_IDLE_S = 4.0
 
-ResponseMatcher = Callable[[HttpResponse], bool]
+
+@final
+@unique
+class ResponseMatch(Enum):
+    """Whether a response belongs to the request in flight.
+
+    ``OTHER`` responses are discarded. After an ``UNIDENTIFIED`` one the connection is
+    closed, because a late second copy could not be told from a later response.
+    """
+
+    OTHER = "of another request"
+    OWN = "of this request"
+    UNIDENTIFIED = "of this request, without an identifier"
+
+
+ResponseMatcher = Callable[[HttpResponse], ResponseMatch]
 
 
 @final
@@ -63,9 +80,9 @@
         self.response_started = response_started
 
 
-def match_any(response: HttpResponse) -> bool:
+def match_any(response: HttpResponse) -> ResponseMatch:
     """Accept every response."""
-    return True
+    return ResponseMatch.OWN
 
 
 def do_nothing() -> None:
@@ -125,8 +142,7 @@
 
         Cancelling the result aborts the connection.
 
-        :param matches: whether a response is the one to this request; others are
-            discarded.
+        :param matches: whether a response is the one to this request.
         :param on_response_started: called at the first bytes that arrive.
         :return: fires with the response, or fails with ``ExchangeError``.
         """
@@ -265,9 +281,12 @@
             bytes(self._body),
             bytes(head.reason).decode("latin-1"),
         )
-        if not self._matches(response):
+        match = self._matches(response)
+        if match is ResponseMatch.OTHER:
             self._discard_response()
             return
+        if match is ResponseMatch.UNIDENTIFIED:
+            self.reusable = False
         pending, self._pending = self._pending, None
         self._release_body()
         self.served += 1
--- a/packages/transport/src/sycamorenotch_transport/_http1_pool.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_pool.py
@@ -86,18 +86,21 @@
         matches: ResponseMatcher = match_any,
         max_idle_s: float = 1e9,
         on_response_started: Callable[[], None] = do_nothing,
+        *,
+        reuse: bool = True,
     ) -> HttpResponse:
         """Send a request and wait for the complete response.
 
         :param connect_timeout_s: timeout of opening a connection.
-        :param matches: whether a response is the one to this request; others are
-            discarded.
+        :param matches: whether a response is the one to this request.
         :param max_idle_s: connections that were idle for longer are not reused, in
             addition to each connection's own limit.
         :param on_response_started: called at the first bytes that arrive.
+        :param reuse: whether the request may go out on a connection that has served
+            others.
         :raises ExchangeError: if no complete response arrives.
         """
-        connection = self._acquire_idle(max_idle_s)
+        connection = self._acquire_idle(max_idle_s) if reuse else None
         if connection is None:
             connection = await self._open(connect_timeout_s)
         return await connection.exchange(request, matches, on_response_started)
--- a/testing/platform/test_dialect.py
+++ b/testing/platform/test_dialect.py
@@ -15,6 +15,7 @@
 from sycamorenotch_platform._dialect import MAX_PAUSE_S
 from sycamorenotch_transport import HttpRequest
 from sycamorenotch_transport import HttpResponse
+from sycamorenotch_transport import ResponseMatch
 from sycamorenotch_transport import get_header
 
 SIGNED = ("X-Response-Signature", "1.2.3")
@@ -61,10 +62,12 @@
 
 
 def test_answer_to_another_request_does_not_match(dialect, call) -> None:
-    assert dialect.matches_request(call, HttpResponse(200, (("X-Attempt-Id", "9c41"),)))
-    assert not dialect.matches_request(
-        call, HttpResponse(200, (("X-Attempt-Id", "9c42"),))
-    )
+    answers = [HttpResponse(200, (("X-Attempt-Id", t),)) for t in ("9c41", "9c42", "")]
+    assert [dialect.match_response(call, response) for response in answers] == [
+        ResponseMatch.OWN,
+        ResponseMatch.OTHER,
+        ResponseMatch.UNIDENTIFIED,
+    ]
 
 
 @pytest.mark.parametrize(
--- a/testing/transport/test_http1_client.py
+++ b/testing/transport/test_http1_client.py
@@ -14,6 +14,7 @@
 from sycamorenotch_transport import ExchangeError
 from sycamorenotch_transport import Http1Pool
 from sycamorenotch_transport import HttpRequest
+from sycamorenotch_transport import ResponseMatch
 from sycamorenotch_transport import get_header
 
 REQUEST = HttpRequest("GET", "/a", (("Host", "h"), ("X-Id", "7")))
@@ -127,7 +128,11 @@
 
 def test_response_to_another_request_is_discarded(harness) -> None:
     harness.exchange(
-        matches=lambda response: get_header(response.headers, "x-id") == "7"
+        matches=lambda response: (
+            ResponseMatch.OWN
+            if get_header(response.headers, "x-id") == "7"
+            else ResponseMatch.OTHER
+        )
     )
     transport = harness.accept()
     harness.respond(OK.replace(b"X-Id: 7", b"X-Id: 6").replace(b"hi", b"no") + OK)
