--- a/testing/platform/raw_worker.py
+++ b/testing/platform/raw_worker.py
@@ -38,11 +38,15 @@
             pairs = tuple(tuple(line.split(": ", 1)) for line in lines)
             attempt = get_header(pairs, "x-attempt-id")
             self._worker.ran.append(attempt)
-            self.transport.write(self._worker.respond(attempt, self._count))
-            if self._worker.closes:
-                self.transport.loseConnection()
+            raw = self._worker.respond(attempt, self._count)
+            reactor.callLater(self._worker.delay_s, self._write, raw)
             self._count += 1
 
+    def _write(self, raw: bytes) -> None:
+        self.transport.write(raw)
+        if self._worker.closes:
+            self.transport.loseConnection()
+
 
 class RawWorker(Factory):
     """Answers requests without a body with the bytes that ``respond`` returns.
@@ -56,6 +60,7 @@
         self.name = name
         self.respond = respond
         self.closes = closes
+        self.delay_s = 0.0
         self.ran: list[str] = []
         self.opened = 0
         self.port = reactor.listenTCP(0, self, interface="127.0.0.1")
--- a/testing/platform/test_unidentified.py
+++ b/testing/platform/test_unidentified.py
@@ -10,8 +10,8 @@
 SHED = b"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
 
-async def add_worker(site, respond, **kwargs) -> RawWorker:
-    worker = RawWorker("i-raw", respond, **kwargs)
+async def add_worker(site, respond, name: str = "i-raw", **kwargs) -> RawWorker:
+    worker = RawWorker(name, respond, **kwargs)
     site.store.put("servers", worker.name, worker.entry)
     directory = site.gateway.node.require(Workers).directory
     await site.wait_until(lambda: directory.get(worker.name) is not None)
