End a watch of the store by the stability window after its connection went silent

Cause: after a change the next watch waits for up to a second, and then went out on a kept connection that may have gone silent in between. It ended only a stability window after it was sent. Nothing limited how long a connection to the store may have been idle, so that what was read next could wait on a silent one too. A watch ends 0.3 s before the window, the time for the idle connection, the delay of the next call and its answer.

--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -41,6 +41,9 @@
 
 # Asks for the changes that a followed instance may not have passed on, without a wait.
 CHECK_TIMEOUT_S = 1.5
+# After a watch that got no answer: the idle time of its connection, the delay of the
+# next call, and the time that the store needs for its answer.
+READ_AGAIN_S = 0.3
 # Shorter watches would be calls in quick succession.
 MIN_WATCH_TIMEOUT_S = 2.5
 STARTUP_POLL_INTERVAL = timedelta(seconds=0.05)
@@ -187,11 +190,12 @@
     def _watch_timeout_s(self) -> float:
         """Longest time for which silence is taken for no change, in seconds.
 
-        A store that was silent when it was asked never answers. What it acknowledges
-        has to be known in time once it has been stable for ``stability_window``.
+        A store or connection that was silent when it was asked never answers. What the
+        store acknowledges has to be known in time once it has been stable for
+        ``stability_window``.
         """
         window = self._node.settings.bounds.stability_window
-        return max(MIN_WATCH_TIMEOUT_S, window.total_seconds())
+        return max(MIN_WATCH_TIMEOUT_S, window.total_seconds() - READ_AGAIN_S)
 
     async def _read_from_peer(self) -> None:
         batch = await self._relay.read(self._topic, self._log.position)
