Decide who a caller is and how old a configuration may be

Cause: customers' keys, home regions and the bound on revocations have no decisions yet.

Batches may carry the age that their source states.

--- a/packages/kernel/src/sycamorenotch_kernel/__init__.py
+++ b/packages/kernel/src/sycamorenotch_kernel/__init__.py
@@ -50,6 +50,7 @@
 from sycamorenotch_kernel._events import Severity
 from sycamorenotch_kernel._events import event
 from sycamorenotch_kernel._events import events
+from sycamorenotch_kernel._feeds import WATCH_ANSWER_S
 from sycamorenotch_kernel._feeds import Batch
 from sycamorenotch_kernel._feeds import FeedError
 from sycamorenotch_kernel._feeds import FeedFault
@@ -159,6 +160,7 @@
     "PLUGIN_GROUP",
     "REGISTRIES",
     "UNKNOWN_OUTCOME_STATUS",
+    "WATCH_ANSWER_S",
     "WINDOW_LENGTHS",
     "Attempt",
     "AttemptId",
--- a/packages/kernel/src/sycamorenotch_kernel/_feeds.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_feeds.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Awaitable
 from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 from enum import unique
 from typing import Any
@@ -14,6 +15,9 @@
 
 from sycamorenotch_kernel._forwarding import PeerEntry
 
+# A watch without changes is to be answered this long before its timeout.
+WATCH_ANSWER_S = 1.5
+
 
 @final
 @unique
@@ -91,11 +95,15 @@
 
     :param revision: store revision up to which the batch is complete.
     :param era: era of the store to which the revision belongs.
+    :param age_s: how much earlier than the call that got the batch the moment lies up
+        to which it is known to include all acknowledged writes, in seconds; negative
+        if that moment is later than the call, and none if the source does not say.
     """
 
     items: tuple[Item, ...]
     revision: int
     era: int = 0
+    age_s: float | None = field(default=None, compare=False)
 
     @property
     def position(self) -> Position:
@@ -119,8 +127,9 @@
     ) -> Awaitable[Result[Batch, FeedError]]:
         """Wait for changes after a revision.
 
-        An empty batch means that nothing changed. The store is asked to answer a while
-        before the timeout, so that a call without an answer has failed.
+        An empty batch means that nothing changed. The store is asked to answer
+        ``WATCH_ANSWER_S`` before the timeout, so that a call without an answer has
+        failed.
 
         :param timeout_s: time within which the call ends, in seconds.
         """
--- a/packages/policies/src/sycamorenotch_policies/_route_table.py
+++ b/packages/policies/src/sycamorenotch_policies/_route_table.py
@@ -7,6 +7,7 @@
 
 from sycamorenotch_kernel import ForwardingConfiguration
 from sycamorenotch_kernel import ForwardingRoute
+from sycamorenotch_policies.customers import CustomerIndex
 
 HASH_BYTES = 8
 HASH_RANGE = float(2 ** (8 * HASH_BYTES))
@@ -20,10 +21,14 @@
 
 @final
 class RouteTable:
-    """The routes of one configuration, by host and longest prefix."""
+    """The routes of one configuration, by host and longest prefix.
+
+    :ivar customers: the customers of the configuration, by key.
+    """
 
     def __init__(self, configuration: ForwardingConfiguration) -> None:
         self.configuration = configuration
+        self.customers = CustomerIndex(configuration.customers)
         self._hosts: dict[str, list[ForwardingRoute]] = {}
         for route in configuration.routes:
             self._hosts.setdefault(route.host.lower(), []).append(route)
