Decode customers and public routes

Cause: entries of customers in the configuration are ignored.

Change: they are decoded strictly, keys become digests at once, and an unreadable entry, a name listed twice or a key of two customers makes the whole configuration invalid. Error messages name customers and fields, never a key.

--- a/testing/platform/test_models.py
+++ b/testing/platform/test_models.py
@@ -6,8 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sycamorenotch_kernel import WATCH_ANSWER_S
+from sycamorenotch_kernel import Customer
 from sycamorenotch_kernel import RequestKind
 from sycamorenotch_kernel import Topic
+from sycamorenotch_kernel import digest_key
+from sycamorenotch_platform import _feed
 from sycamorenotch_platform._feed import _item
 
 ENTRY = {
@@ -32,6 +36,7 @@
     "sticky_sessions": True,
     "home_regions": ["west"],
 }
+SECRET = "the-key"
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
     lambda inner: (
@@ -134,3 +139,88 @@
 def test_route_without_service_is_a_problem() -> None:
     item = _item(Topic.CONFIGURATION, configuration(route()), removed=False)
     assert item.problem
+
+
+def tenant(name="acme", **specification):
+    return {
+        "resource_kind": "tenants",
+        "metadata": {"name": name},
+        "specification": specification,
+    }
+
+
+def decoded(*resources):
+    return _item(Topic.CONFIGURATION, configuration(*resources), removed=False)
+
+
+def test_customers_are_converted() -> None:
+    """Guards against keys that are kept, and fields that are lost."""
+    full = tenant(
+        keys=["k1", "k2", "k2"],
+        priority=1,
+        rate_per_s=2,
+        burst=2.5,
+        home_regions=["west"],
+    )
+    found = decoded(full, tenant("bolt"), route(service="s", public=True)).value
+    digests = frozenset(map(digest_key, ("k1", "k2")))
+    assert found.customers == (
+        Customer("acme", digests, 1, 2.0, 2.5, frozenset({"west"})),
+        Customer("bolt", frozenset()),
+    )
+    assert found.routes[0].public
+    assert "k1" not in repr(found)
+
+
+def test_key_outside_ascii_is_known_as_headers_carry_it() -> None:
+    """Guards against such a key that is unknown when it is sent as UTF-8."""
+    (found,) = decoded(tenant(keys=["clé"])).value.customers
+    assert digest_key("clé".encode().decode("latin-1")) in found.key_digests
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"keys": SECRET},
+        {"keys": {SECRET: 1}},
+        {"keys": [SECRET, 5]},
+        {"keys": [SECRET, ""]},
+        {"keys": [[SECRET]]},
+        {"priority": "1"},
+        {"priority": True},
+        {"rate_per_s": "5"},
+        {"rate_per_s": -1},
+        {"rate_per_s": True},
+        {"burst": 10**400},
+        {"burst": float("nan")},
+        {"home_regions": "west"},
+        {"home_regions": [None]},
+        {"name": ""},
+        {"name": 5},
+        {"name": "a\r\nb"},
+        {"name": "bolt"},
+        {"name": None},
+    ],
+)
+def test_unreadable_customer_makes_the_configuration_invalid(change) -> None:
+    """Guards against a revocation that is half applied, and keys in the log."""
+    name = change.get("name", "acme")
+    fields = {key: value for key, value in change.items() if key != "name"}
+    item = decoded(tenant("bolt"), tenant(name, **{"keys": [SECRET], **fields}))
+    assert item.value is None
+    assert item.problem
+    assert SECRET not in item.problem
+
+
+def test_key_of_two_customers_makes_the_configuration_invalid() -> None:
+    """Guards against a request that counts for one of two customers."""
+    item = decoded(tenant(keys=[SECRET]), tenant("bolt", keys=["x", SECRET]))
+    assert item.value is None
+    assert "acme" in item.problem
+    assert "bolt" in item.problem
+    assert SECRET not in item.problem
+
+
+def test_gateway_knows_how_long_the_store_may_hold_a_watch() -> None:
+    """Guards against ages that count a wait that the store was not asked for."""
+    assert WATCH_ANSWER_S == _feed.WATCH_ANSWER_S
