Check customers' keys, and refuse them when the configuration is too old

Cause: unknown and revoked keys are accepted, keys reach workers, and an instance without the store would trust a revoked key for ever.

Change: the forwarder identifies the customer after the quarantine check; unknown and missing keys get 401, workers get the customer's name and no key, and keys are checked again before a second attempt. The age of the configuration is kept on a clock that runs while the machine is suspended, counts from when answers were produced, and travels in the answers to polls. With fail_closed, older configurations refuse keys, watches and polls of the configuration are shorter, and an instance near the bound asks the store at most about once a second. What parsers quote of malformed requests stays out of the log, as it may contain a key.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -86,12 +86,14 @@
         chosen: ChosenWorker,
         deadline: float,
         on_overdue: Callable[[], None],
+        customer: str | None = None,
     ) -> AttemptOutcome:
         """Send a request and wait for the answer or the deadline.
 
         :param deadline: time on the monotonic clock, in seconds.
         :param on_overdue: called once if the answer takes so long that a second
             worker should be tried.
+        :param customer: name of the customer, as in :meth:`Dialect.encode_attempt`.
         """
         view = chosen.view
         started_at = self._node.clock()
@@ -102,7 +104,7 @@
         if route.kind.repeatable:
             watch.start()
         try:
-            outcome = await self._exchange(call, view, deadline)
+            outcome = await self._exchange(call, view, deadline, customer)
         except CancelledError:
             if watch.overdue:
                 self._report_overtaken(call, chosen, started_at)
@@ -139,12 +141,16 @@
         self._suspicion.record_alive(view.entry.id)
 
     async def _exchange(
-        self, call: ForwardCall, view: WorkerView, deadline: float
+        self,
+        call: ForwardCall,
+        view: WorkerView,
+        deadline: float,
+        customer: str | None,
     ) -> AttemptOutcome:
         started_at = self._node.clock()
         progress = _Progress()
         exchange = self._start_exchange(
-            call, view, progress, started_at, deadline - started_at
+            call, view, progress, started_at, deadline - started_at, customer
         )
         try:
             response = await exchange
@@ -166,11 +172,12 @@
         progress: _Progress,
         now: float,
         remaining_s: float,
+        customer: str | None,
     ) -> Deferred[HttpResponse]:
         dialect = self._node.dialect
         exchange: Deferred[HttpResponse] = Deferred.fromCoroutine(
             self._workers.pool(view).exchange(
-                dialect.encode_attempt(call, view.entry.id, remaining_s),
+                dialect.encode_attempt(call, view.entry.id, remaining_s, customer),
                 min(CONNECT_TIMEOUT_S, remaining_s),
                 lambda response: dialect.matches_request(call, response),
                 self._workers.idle_timeout(view.entry.service).max_idle_s(now),
--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -137,6 +137,49 @@
     in_force_revision: int
 
 
+@event(6150, "customers.changed")
+@final
+@dataclass(frozen=True, slots=True)
+class CustomersChanged(Event):
+    """The configuration has more or fewer customers than the one before.
+
+    :param version: version of the configuration.
+    """
+
+    version: int
+    customers: int
+    previous: int
+
+
+@event(6151, "customers.keys-refused", Severity.ERROR)
+@final
+@dataclass(frozen=True, slots=True)
+class KeysRefused(Event):
+    """Requests with keys are refused, as the configuration may be out of date.
+
+    :param age_s: age that the configuration is known to have; none if it is unknown.
+    :param limit_s: age from which keys are refused.
+    """
+
+    age_s: float | None
+    limit_s: float
+
+
+@event(6152, "customers.keys-accepted")
+@final
+@dataclass(frozen=True, slots=True)
+class KeysAccepted(Event):
+    """Requests with keys are accepted again.
+
+    :param age_s: age that the configuration is known to have.
+    :param refused: requests that were refused because of the age.
+    """
+
+    age_s: float | None
+    refused: int
+    seconds: float
+
+
 @event(6201, "worker.changed")
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -16,6 +16,8 @@
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._relay import Relay
 from sycamorenotch_gateway._sources import Sources
+from sycamorenotch_gateway._topic_age import TopicAge
+from sycamorenotch_kernel import WATCH_ANSWER_S
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import FeedError
 from sycamorenotch_kernel import FeedFault
@@ -78,6 +80,7 @@
         self._watching = False
         self._checks_store = False
         self._log = TopicLog()
+        self._age = TopicAge(node.boot_clock)
         self._relay = node.require(Relay)
         self._relay.publish(topic, self)
         self._sources = node.require(Sources)
@@ -109,6 +112,14 @@
         rewound_at = self.rewound_at
         return -inf if rewound_at is None else rewound_at + ENTRY_RETURN_GRACE_S
 
+    @property
+    def age_s(self) -> float:
+        """Time since the moment up to which the items are current, in seconds.
+
+        It is infinite if no such moment is known.
+        """
+        return self._age.seconds
+
     def start(self) -> None:
         """Start following the topic."""
         self._loop.start()
@@ -144,6 +155,7 @@
 
     async def _follow_peer(self, source: PeerEntry) -> timedelta:
         self._watching = False
+        sent_at = self._node.boot_clock()
         found = await self._relay.poll(source, self._topic, self._log.position)
         if found.is_error():
             self._sources.record_failure(self._topic, source, found.error)
@@ -155,16 +167,19 @@
         batch, is_snapshot = found.ok
         if batch.position > self._log.position or not self.complete:
             self._apply(batch, is_snapshot)
+        self._age.record_statement(batch, sent_at, self._log.position.era)
         self._revision = self._log.position.revision
         return NO_DELAY
 
     async def _follow_store(self) -> timedelta:
         checks_store, self._checks_store = self._checks_store, False
+        known, sent_at, wait_s = self._log.position, self._node.boot_clock(), 0.0
         if self._revision is None:
             result = await self._node.feed.read(self._topic, fresh=True)
             is_snapshot = True
         else:
             timeout_s = CHECK_TIMEOUT_S if checks_store else self._watch_timeout_s
+            wait_s = max(0.0, timeout_s - WATCH_ANSWER_S)
             self._watching = not checks_store
             result = await self._node.feed.watch(self._topic, self._revision, timeout_s)
             is_snapshot = False
@@ -178,8 +193,13 @@
             # The watch began in a history whose end is lost.
             self._revision = None
             return NO_DELAY
+        if known != self._log.position > result.ok.position:
+            # :meth:`refresh` has found more meanwhile.
+            self._revision = self._log.position.revision
+            return NO_DELAY
         self._revision = result.ok.revision
         self._apply(result.ok, is_snapshot)
+        self._age.record_store_answer(result.ok, sent_at, wait_s)
         unchanged = is_snapshot or not result.ok.items
         return NO_DELAY if unchanged else WATCH_DELAYS.get(self._topic, NO_DELAY)
 
@@ -191,13 +211,39 @@
         has to be known in time once it has been stable for ``stability_window``.
         """
         window = self._node.settings.bounds.stability_window
-        return max(MIN_WATCH_TIMEOUT_S, window.total_seconds())
+        timeout_s = max(MIN_WATCH_TIMEOUT_S, window.total_seconds())
+        limits = self._node.settings.key_age_limits
+        if self._topic is not Topic.CONFIGURATION or limits is None:
+            return timeout_s
+        return min(timeout_s, WATCH_ANSWER_S + limits.watch_wait_s(self.age_s))
+
+    async def refresh(self) -> None:
+        """Ask the store once, or else a peer, whether the items are still current.
+
+        While the store is known to be lost, only a peer is asked.
+        """
+        known, sent_at = self._log.position, self._node.boot_clock()
+        if self._revision is not None:
+            result = await self._node.feed.watch(
+                self._topic, known.revision, CHECK_TIMEOUT_S
+            )
+            # Meanwhile the topic may have been read again, in another era too.
+            if result.is_ok() and known.era == self._log.position.era == result.ok.era:
+                if result.ok.position >= self._log.position:
+                    self._apply(result.ok, is_snapshot=False)
+                    self._age.record_store_answer(result.ok, sent_at, 0.0)
+                return
+        await self._read_from_peer()
 
     async def _read_from_peer(self) -> None:
+        sent_at = self._node.boot_clock()
         batch = await self._relay.read(self._topic, self._log.position)
-        if batch is not None:
+        if batch is None:
+            return
+        if batch.position > self._log.position:
             self._node.sink.emit(TopicRelayed(self._topic.value, batch.revision))
             self._apply(batch, is_snapshot=True)
+        self._age.record_statement(batch, sent_at, self._log.position.era)
 
     def _apply(self, batch: Batch, is_snapshot: bool) -> None:
         if self.complete:
--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -18,6 +18,7 @@
 from sycamorenotch_gateway._events import RequestAbandoned
 from sycamorenotch_gateway._events import RequestAnswered
 from sycamorenotch_gateway._events import RequestRefused
+from sycamorenotch_gateway._identity import Identity
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._peers import Peers
 from sycamorenotch_gateway._race import AttemptEnd
@@ -41,6 +42,7 @@
 from sycamorenotch_policies import WorkerRequest
 from sycamorenotch_policies import hash_to_unit_interval
 from sycamorenotch_policies import pick_service
+from sycamorenotch_policies.customers import IdentifiedCaller
 
 # Applies if neither the caller nor the route sets a timeout.
 DEFAULT_TIMEOUT_S = 30.0
@@ -82,7 +84,13 @@
 class Forwarder:
     """Forwards requests to workers, with retries within the retry budget."""
 
-    after: ClassVar[tuple[str, ...]] = ("routes", "workers", "peers", "suspicion")
+    after: ClassVar[tuple[str, ...]] = (
+        "routes",
+        "workers",
+        "peers",
+        "suspicion",
+        "identity",
+    )
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
@@ -91,6 +99,7 @@
         self._peers = node.require(Peers)
         self._attempts = Attempts(node)
         self._suspicion = node.require(CrashSuspicion)
+        self._identity = node.require(Identity)
         self._retry_budget = RetryBudget(self._retry_limits)
         directory = self._workers.directory
         self._choice: WorkerChoice = worker_choices.get("affinity")(
@@ -139,6 +148,10 @@
         quarantine_refusal = self._suspicion.refusal(self._suspicion.signature_of(call))
         if quarantine_refusal is not None:
             return Error(quarantine_refusal)
+        caller = self._identity.admit(table, route, call.key_digest)
+        if isinstance(caller, Refusal):
+            return Error(caller)
+        route = caller.route
         progress.service = pick_service(route, hash_to_unit_interval("split", call.id))
         self._workers.demand.record_request(progress.service, self._node.clock())
         timeout_s = DEFAULT_TIMEOUT_S if call.patience_s is None else call.patience_s
@@ -147,7 +160,7 @@
             timeout_s if route.timeout_s is None else min(timeout_s, route.timeout_s)
         )
         return await self._try_workers(
-            call, route, progress, progress.started_at + limit_s
+            call, caller, progress, progress.started_at + limit_s
         )
 
     def _retry_limits(self) -> RetryLimits:
@@ -168,18 +181,20 @@
     async def _try_workers(
         self,
         call: ForwardCall,
-        route: ForwardingRoute,
+        caller: IdentifiedCaller,
         progress: _Progress,
         deadline: float,
     ) -> ForwardResult:
-        race = AttemptRace(self._attempts, call, route, deadline)
+        race = AttemptRace(
+            self._attempts, call, caller.route, deadline, caller.stated_name
+        )
         try:
-            return await self._run_attempts(progress, race)
+            return await self._run_attempts(progress, race, caller)
         finally:
             race.cancel()
 
     async def _run_attempts(
-        self, progress: _Progress, race: AttemptRace
+        self, progress: _Progress, race: AttemptRace, caller: IdentifiedCaller
     ) -> ForwardResult:
         """Run attempts until one settles the request.
 
@@ -198,6 +213,9 @@
                 if not _may_retry(race.route, end.outcome):
                     return result
             if end is None or not race.running:
+                # The key may have been revoked meanwhile.
+                if not self._identity.still_admits(caller, race.call.key_digest):
+                    continue
                 self._start_attempt(progress, race)
         if result is None:
             assert refusal is not None
--- a/packages/gateway/src/sycamorenotch_gateway/_front_end.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_front_end.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import ClassVar
 from typing import final
 
@@ -42,6 +43,9 @@
 ACCEPT_FRACTION = 0.5
 FINISH_FRACTION = 0.86
 
+# What a parser quotes from a malformed request, which may contain a key.
+QUOTED = re.compile(r"""(?:bytearray\()?b?['"].*""", re.DOTALL)
+
 ERROR_KINDS_BY_STATUS = {
     400: ErrorKind.BAD_REQUEST,
     408: ErrorKind.SLOW_SENDER,
@@ -106,7 +110,9 @@
             self._node.reactor,
             handler,
             self._encode_error,
-            lambda detail: self._node.sink.emit(RequestRejected(name, detail)),
+            lambda detail: self._node.sink.emit(
+                RequestRejected(name, QUOTED.sub("(left out)", detail))
+            ),
         )
 
     def _apply_limits(self, configuration: ForwardingConfiguration) -> None:
--- a/packages/gateway/src/sycamorenotch_gateway/_metrics.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_metrics.py
@@ -13,6 +13,7 @@
 from aioprometheus.renderer import render
 from expression import Result
 
+from sycamorenotch_gateway._identity import Identity
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._peers import Peers
 from sycamorenotch_gateway._routes import Routes
@@ -31,9 +32,16 @@
 class GatewayMetrics:
     """Collects the metrics and renders the metrics page."""
 
-    after: ClassVar[tuple[str, ...]] = ("peers", "routes", "sources", "workers")
+    after: ClassVar[tuple[str, ...]] = (
+        "identity",
+        "peers",
+        "routes",
+        "sources",
+        "workers",
+    )
 
     def __init__(self, node: GatewayNode) -> None:
+        self._identity = node.require(Identity)
         self._peers = node.require(Peers)
         self._routes = node.require(Routes)
         self._sources = node.require(Sources)
@@ -66,6 +74,16 @@
             "Time since the store, or a watcher of it, last answered for a topic.",
             **options,
         )
+        self._refused_keys = Counter(
+            "sycamorenotch_gateway_refused_keys_total",
+            "Requests refused for their key, or for the age of the configuration.",
+            **options,
+        )
+        self._proven_age = Gauge(
+            "sycamorenotch_gateway_configuration_age_seconds",
+            "Time since the moment up to which the configuration is known current.",
+            **options,
+        )
         node.provide(GatewayMetrics, self)
 
     def start(self) -> None:
@@ -97,5 +115,15 @@
         self._usage.set({"of": "link_mbps"}, round(used_resources.link_mbps, 3))
         for topic, age_s in self._sources.ages_s().items():
             self._ages.set({"topic": topic.value}, round(age_s, 3))
+        self._render_keys()
         body, _ = render(self._registry, [TEXT_FORMAT])
         return body, TEXT_FORMAT
+
+    def _render_keys(self) -> None:
+        table = self._routes.table
+        self._state.set(
+            {"of": "customers"}, 0 if table is None else len(table.customers)
+        )
+        for reason, count in self._identity.refused.items():
+            self._refused_keys.set({"reason": reason}, count)
+        self._proven_age.set({}, round(self._routes.age_s, 3))
--- a/packages/gateway/src/sycamorenotch_gateway/_node.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
@@ -25,6 +26,11 @@
 T = TypeVar("T")
 
 
+def read_boot_clock() -> float:
+    """Return the time since the machine started, suspensions included, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class GatewayComponent(Protocol):
     """A component of the gateway.
 
@@ -52,6 +58,8 @@
     :param clock: returns the monotonic time in seconds.
     :param started: start on the wall clock, in Unix milliseconds.
     :param processor_clock: returns the processor time of the process in seconds.
+    :param boot_clock: returns a time in seconds that also passes while the machine is
+        suspended, unlike that of ``clock``.
     :param response_buffers: memory for answers of workers, peers and the store.
     :param stopping_since: start of the shutdown on ``clock``, or ``None``.
     """
@@ -65,6 +73,7 @@
     feed: ObjectFeed
     dialect: Dialect
     processor_clock: Callable[[], float]
+    boot_clock: Callable[[], float] = read_boot_clock
     response_buffers: ResponseBuffers = field(default_factory=ResponseBuffers)
     stopping_since: float | None = None
     _provided: dict[type, object] = field(default_factory=dict)
--- a/packages/gateway/src/sycamorenotch_gateway/_race.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_race.py
@@ -32,6 +32,7 @@
 class AttemptRace:
     """Attempts that run until the first one settles the request.
 
+    :param customer: name of the customer, as in :meth:`Dialect.encode_attempt`.
     :ivar deadline: end of all attempts on the monotonic clock, in seconds.
     """
 
@@ -41,11 +42,13 @@
         call: ForwardCall,
         route: ForwardingRoute,
         deadline: float,
+        customer: str | None = None,
     ) -> None:
         self._attempts = attempts
         self.call = call
         self.route = route
         self.deadline = deadline
+        self._customer = customer
         self._running: list[Deferred[AttemptOutcome]] = []
         self._events: DeferredQueue[AttemptEnd | Failure | None] = DeferredQueue()
         self._cancelled = False
@@ -64,6 +67,7 @@
                 chosen,
                 self.deadline,
                 lambda: self._events.put(None),
+                self._customer,
             )
         )
         self._running.append(attempt)
--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
+from math import isfinite
 from typing import ClassVar
 from typing import Protocol
 from typing import final
@@ -48,6 +50,14 @@
 class TopicProvider(Protocol):
     """What an instance has of one topic."""
 
+    @property
+    def age_s(self) -> float:
+        """Time since the moment up to which the items are current, in seconds.
+
+        It is infinite if no such moment is known.
+        """
+        ...
+
     def snapshot(self) -> Batch | None:
         """Return all items, or ``None`` while the store does not keep them current."""
         ...
@@ -144,7 +154,7 @@
             {
                 "after": after.revision,
                 "era": after.era,
-                "wait_ms": int(POLL_WAIT_S * 1000),
+                "wait_ms": int(self._poll_wait_s(topic) * 1000),
             }
         )
         pool = self._pools.get(peer.gossip)
@@ -158,7 +168,7 @@
         """Read a topic from a random peer.
 
         :param after: newest moment that this instance knows of.
-        :return: a newer snapshot, or ``None``.
+        :return: a snapshot that is not older, or ``None``.
         """
         peers = self.peers()
         if not peers or topic not in RELAYED_TOPICS:
@@ -170,10 +180,17 @@
             found = await self._fetch(pool, peer, topic, target, REQUEST_TIMEOUT_S)
         finally:
             pool.close()
-        if found.is_error() or found.ok[0].position <= after:
+        if found.is_error() or found.ok[0].position < after:
             return None
         return found.ok[0]
 
+    def _poll_wait_s(self, topic: Topic) -> float:
+        """Return how long a poll waits; its wait adds to the age that is known."""
+        limits = self._node.settings.key_age_limits
+        if topic is not Topic.CONFIGURATION or limits is None:
+            return POLL_WAIT_S
+        return min(POLL_WAIT_S, limits.poll_wait_s)
+
     def _create_pool(self, peer: PeerEntry) -> Http1Pool:
         node = self._node
         return Http1Pool(node.reactor, peer.gossip, node.clock, node.response_buffers)
@@ -217,11 +234,13 @@
         batch = self._providers[topic].snapshot()
         if batch is None:
             return HttpResponse(404)
-        return HttpResponse(200, body=encode_topic(topic, batch, is_snapshot=True))
+        now = self._node.boot_clock()
+        return self._encode_topic(topic, batch, now, is_snapshot=True)
 
     async def _serve_poll(
         self, topic: Topic, query: dict[str, list[str]]
     ) -> HttpResponse:
+        arrived_at = self._node.boot_clock()
         try:
             revision, wait_ms = (int(query[name][0]) for name in ("after", "wait_ms"))
             after = Position(int(query.get("era", ["0"])[0]), revision)
@@ -236,8 +255,20 @@
         if found is None:
             return HttpResponse(REFUSED_STATUS)
         batch, is_snapshot = found
+        return self._encode_topic(topic, batch, arrived_at, is_snapshot=is_snapshot)
+
+    def _encode_topic(
+        self, topic: Topic, batch: Batch, arrived_at: float, *, is_snapshot: bool
+    ) -> HttpResponse:
+        """Encode items of a topic with their age when the request arrived.
+
+        The requester only knows that the answer is no older than its request.
+        """
+        held_s = self._node.boot_clock() - arrived_at
+        age_s = self._providers[topic].age_s - held_s
+        stated = replace(batch, age_s=age_s if isfinite(age_s) else None)
         return HttpResponse(
-            200, body=encode_topic(topic, batch, is_snapshot=is_snapshot)
+            200, body=encode_topic(topic, stated, is_snapshot=is_snapshot)
         )
 
     def _current_changes(
--- a/packages/gateway/src/sycamorenotch_gateway/_routes.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_routes.py
@@ -9,6 +9,7 @@
 from sycamorenotch_gateway._events import ConfigurationApplied
 from sycamorenotch_gateway._events import ConfigurationIgnored
 from sycamorenotch_gateway._events import ConfigurationRejected
+from sycamorenotch_gateway._events import CustomersChanged
 from sycamorenotch_gateway._follower import Follower
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_kernel import Batch
@@ -54,6 +55,18 @@
         """Version of the configuration in force, or 0 if there is none."""
         return 0 if self.table is None else self.table.configuration.version
 
+    @property
+    def age_s(self) -> float:
+        """Time since the moment up to which the configuration is current, in seconds.
+
+        It is infinite if no such moment is known.
+        """
+        return self._follower.age_s
+
+    async def refresh(self) -> None:
+        """Ask the store once, or else a peer, whether the configuration is current."""
+        await self._follower.refresh()
+
     def apply(self, configuration: ForwardingConfiguration) -> None:
         """Apply a configuration if it is newer than the one in force."""
         current = self.table
@@ -71,6 +84,13 @@
                 len(configuration.routes),
             )
         )
+        known = 0 if current is None else len(current.customers)
+        if known != len(self.table.customers):
+            self._node.sink.emit(
+                CustomersChanged(
+                    configuration.version, len(self.table.customers), known
+                )
+            )
         for listener in self._listeners:
             listener(configuration)
 
--- a/packages/gateway/src/sycamorenotch_gateway/_settings.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_settings.py
@@ -21,6 +21,7 @@
 from sycamorenotch_kernel import Placement
 from sycamorenotch_kernel import Registry
 from sycamorenotch_kernel import Resources
+from sycamorenotch_policies.customers import KeyAgeLimits
 from sycamorenotch_transport import ResponseLimits
 
 GATEWAY_KINDS: Registry[SectionKind] = Registry("gateway settings section")
@@ -153,6 +154,13 @@
     bounds: BoundsSection = field(default_factory=BoundsSection)
     response_limits: ResponseLimits = field(default_factory=ResponseLimits)
 
+    @property
+    def key_age_limits(self) -> KeyAgeLimits | None:
+        """Limits on the configuration's age; none if keys are trusted at any age."""
+        if not self.bounds.fail_closed:
+            return None
+        return KeyAgeLimits(self.bounds.revocation.total_seconds())
+
 
 def parse_gateway_settings(text: str) -> GatewaySettings:
     """Validate a settings file.
--- a/packages/gateway/src/sycamorenotch_gateway/_topic_payloads.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_topic_payloads.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import field
+from typing import Annotated
 from typing import Any
 from typing import final
 
 from expression import Error
 from expression import Ok
 from expression import Result
+from pydantic import Field
 from pydantic import TypeAdapter
 from pydantic import ValidationError
 from pydantic.dataclasses import dataclass
@@ -28,6 +30,8 @@
     :param removed: names of the objects that were deleted.
     :param problems: why objects cannot be decoded, by name.
     :param revisions: revisions at which the objects were written, by name.
+    :param age_s: age of the items when the request arrived, as in :class:`Batch`;
+        unknown if an instance of an earlier release leaves it out.
     """
 
     revision: int
@@ -36,6 +40,7 @@
     removed: tuple[str, ...] = ()
     problems: dict[str, str] = field(default_factory=dict)
     revisions: dict[str, int] = field(default_factory=dict)
+    age_s: Annotated[float, Field(allow_inf_nan=False)] | None = None
 
 
 @final
@@ -78,6 +83,7 @@
         problems={i.name: i.problem for i in batch.items if i.problem},
         revisions={i.name: i.revision for i in batch.items if i.value is not None},
         items={i.name: i.value for i in batch.items if i.value is not None},
+        age_s=batch.age_s,
     )
     return _ADAPTERS[topic].dump_json(payload)
 
@@ -104,4 +110,4 @@
             for name, problem in found.problems.items()
         ),
     )
-    return Ok((Batch(items, revision, found.era), found.snapshot))
+    return Ok((Batch(items, revision, found.era, found.age_s), found.snapshot))
--- a/packages/gateway/src/sycamorenotch_gateway/main.py
+++ b/packages/gateway/src/sycamorenotch_gateway/main.py
@@ -22,6 +22,7 @@
 from sycamorenotch_gateway._gateway import Gateway
 from sycamorenotch_gateway._log import LogWriter
 from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._node import read_boot_clock
 from sycamorenotch_gateway._reload import SettingsWatch
 from sycamorenotch_gateway._settings import GatewaySettings
 from sycamorenotch_gateway._settings import parse_gateway_settings
@@ -85,6 +86,7 @@
         feed=build_feed(settings.store, reactor, time.monotonic, buffers),
         dialect=dialects.get(settings.dialect)(),
         processor_clock=_processor_time_s,
+        boot_clock=read_boot_clock,
         response_buffers=buffers,
     )
     return Gateway(node)
--- a/testing/platform/conftest.py
+++ b/testing/platform/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -16,6 +17,7 @@
 from sycamorenotch_gateway import Gateway
 from sycamorenotch_gateway import GatewayNode
 from sycamorenotch_gateway import parse_gateway_settings
+from sycamorenotch_gateway._node import read_boot_clock
 from sycamorenotch_kernel import EventList
 from sycamorenotch_kernel import dialects
 from sycamorenotch_kernel import object_feeds
@@ -124,6 +126,7 @@
             ("X-Attempt-Id", f"t{self.sent}"),
             ("X-Affinity-Key", key),
             ("X-Remaining-Milliseconds", headers.pop("patience", "3000")),
+            *headers.pop("pairs", ()),
         )
         return HttpRequest(headers.pop("method", "GET"), path, pairs)
 
@@ -138,18 +141,25 @@
         return [event for event in self.sink.events if event.name == name]
 
 
-async def build_site(workers: list[StandInWorker]) -> Site:
+async def build_site(
+    workers: list[StandInWorker], main: dict[str, Any] | None = None, **options: Any
+) -> Site:
     store = StandInStore()
-    store.put("config", "main", configuration())
+    store.put("config", "main", main or configuration())
     for worker in workers:
         store.put("servers", worker.name, worker.entry)
-    gateway = build_gateway(store)
+    gateway = build_gateway(store, **options)
     gateway.start()
     return Site(store, workers, gateway, gateway.node.sink)
 
 
-def build_gateway(store: StandInStore, name: str = "me") -> Gateway:
-    text = SETTINGS.format(store=store.server.address)
+def build_gateway(
+    store: StandInStore,
+    name: str = "me",
+    bounds: str = "",
+    boot_clock: Callable[[], float] = read_boot_clock,
+) -> Gateway:
+    text = SETTINGS.format(store=store.server.address) + bounds
     settings = parse_gateway_settings(text.replace("id = me", f"id = {name}"))
     sink = EventList()
     node = GatewayNode(
@@ -162,6 +172,7 @@
         feed=object_feeds.get("platform")(settings.store, reactor, time.monotonic),
         dialect=dialects.get("platform")(),
         processor_clock=time.process_time,
+        boot_clock=boot_clock,
     )
     return Gateway(node)
 
@@ -170,14 +181,21 @@
 def run_on_site(run_in_reactor):
     """Return a function that runs a scenario on a new site.
 
-    The function's ``count`` is the number of workers; further keyword arguments are
-    passed to each :class:`StandInWorker`.
+    The function's ``count`` is the number of workers, ``main`` the configuration and
+    ``options`` are those of :func:`build_gateway`; further keyword arguments are passed
+    to each :class:`StandInWorker`.
     """
 
-    def run(scenario, count: int = 2, **changes: Any) -> None:
-        async def main() -> None:
+    def run(
+        scenario,
+        count: int = 2,
+        main: dict[str, Any] | None = None,
+        options: dict[str, Any] | None = None,
+        **changes: Any,
+    ) -> None:
+        async def run_scenario() -> None:
             workers = [StandInWorker(f"i-{n}", **changes) for n in range(count)]
-            site = await build_site(workers)
+            site = await build_site(workers, main, **(options or {}))
             try:
                 await site.wait_until_ready()
                 await scenario(site)
@@ -186,6 +204,6 @@
                 for server in [site.store.server, *(w.server for w in workers)]:
                     await server.stop(0)
 
-        run_in_reactor(main())
+        run_in_reactor(run_scenario())
 
     return run
--- a/testing/platform/test_sources.py
+++ b/testing/platform/test_sources.py
@@ -33,9 +33,10 @@
 class Fleet:
     """Gateways of one region on one store."""
 
-    def __init__(self) -> None:
+    def __init__(self, main: dict[str, Any] | None = None, bounds: str = "") -> None:
+        self.bounds = bounds
         self.store = StandInStore()
-        self.store.put("config", "main", configuration())
+        self.store.put("config", "main", main or configuration())
         self.worker = StandInWorker("i-0")
         self.store.put("servers", "i-0", self.worker.entry)
         self.gateways: dict[str, Gateway] = {}
@@ -43,7 +44,7 @@
     async def start(self) -> None:
         for number in range(SIZE):
             name = f"g-{number}"
-            gateway = build_gateway(self.store, name)
+            gateway = build_gateway(self.store, name, self.bounds)
             self.gateways[name] = gateway
             gateway.start()
         await self.wait_until(lambda: all(map(self.is_ready, self.gateways)), START_S)
