Say in explanations why keys and instances were refused

Cause: "not-ready" was explained as a missing configuration whatever the detail said, which is wrong for a configuration that is too old for keys.

Change: the explanation repeats the detail of the refusal, and there are ones for unauthorized and no-upstream.

--- a/packages/cli/src/sycamorenotch_cli/_request_trace.py
+++ b/packages/cli/src/sycamorenotch_cli/_request_trace.py
@@ -134,7 +134,18 @@
 
 @causes.register("not-ready")
 def _not_ready(trace: RequestTrace) -> str:
-    return "The instance had started but had no configuration or no workers yet."
+    return f"The instance was not ready: {trace.field('detail')}."
+
+
+@causes.register("unauthorized")
+def _unauthorized(trace: RequestTrace) -> str:
+    version = trace.field("configuration")
+    return f"Under version {version} of the configuration, {trace.field('detail')}."
+
+
+@causes.register("no-upstream")
+def _no_upstream(trace: RequestTrace) -> str:
+    return f"No worker may run the request: {trace.field('detail')}."
 
 
 @causes.register("unknown-route")
--- a/testing/platform/test_customers.py
+++ b/testing/platform/test_customers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from typing import Any
 
@@ -20,6 +21,7 @@
 
 from sycamorenotch_gateway._key_age import KeyAge
 from sycamorenotch_gateway._routes import Routes
+from sycamorenotch_policies.customers import Unidentified
 from sycamorenotch_transport import Http1Pool
 from sycamorenotch_transport import get_header
 
@@ -79,6 +81,11 @@
             assert response.status == 401
             assert orjson.loads(response.body)["kind"] == "unauthorized"
         assert not any(worker.requests for worker in site.workers)
+        lines = map(dataclasses.asdict, site.events("request.refused"))
+        assert {line["detail"] for line in lines} == {
+            Unidentified.NO_KEY.value,
+            Unidentified.UNKNOWN_KEY.value,
+        }
         page = (await site.fetch("metrics", "/metrics")).body.decode()
         assert 'refused_keys_total{reason="unauthorized"} 2' in page
 
