--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -43,6 +43,8 @@
 
 # Asks for the changes that a followed instance may not have passed on, without a wait.
 CHECK_TIMEOUT_S = 1.5
+# A single question whether the items are current; the next one follows a second later.
+REFRESH_TIMEOUT_S = 0.9
 # Shorter watches would be calls in quick succession.
 MIN_WATCH_TIMEOUT_S = 2.5
 STARTUP_POLL_INTERVAL = timedelta(seconds=0.05)
@@ -217,15 +219,17 @@
             return timeout_s
         return min(timeout_s, WATCH_ANSWER_S + limits.watch_wait_s(self.age_s))
 
-    async def refresh(self) -> None:
+    async def refresh(self, *, asks_store: bool) -> None:
         """Ask the store once, or else a peer, whether the items are still current.
 
-        While the store is known to be lost, only a peer is asked.
+        :param asks_store: whether the store may be asked.
         """
         known, sent_at = self._log.position, self._node.boot_clock()
-        if self._revision is not None:
+        # A store that does not state its era may have lost writes unnoticed while no
+        # call to it succeeded.
+        if asks_store and (self._revision is not None or known.era > 0):
             result = await self._node.feed.watch(
-                self._topic, known.revision, CHECK_TIMEOUT_S
+                self._topic, known.revision, REFRESH_TIMEOUT_S
             )
             # Meanwhile the topic may have been read again, in another era too.
             if result.is_ok() and known.era == self._log.position.era == result.ok.era:
--- a/packages/gateway/src/sycamorenotch_gateway/_key_age.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_key_age.py
@@ -11,13 +11,14 @@
 from sycamorenotch_gateway._events import KeysRefused
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._routes import Routes
+from sycamorenotch_gateway._sources import Sources
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_policies.customers import KeyAgeLimits
 
 CHECK_INTERVAL = timedelta(seconds=0.2)
 # Each question may be a call to the store, which is charged. Spread, so that instances
 # that lost the store together do not return together.
-ASK_INTERVAL_S = (1.0, 1.3)
+ASK_INTERVAL_S = (1.0, 1.2)
 
 
 @gateway_components.register("key-age")
@@ -28,12 +29,14 @@
     :ivar refused: requests that were refused because of the age.
     """
 
-    after: ClassVar[tuple[str, ...]] = ("routes",)
+    after: ClassVar[tuple[str, ...]] = ("routes", "sources")
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
         self._routes = node.require(Routes)
+        self._sources = node.require(Sources)
         self._checks = node.background(self._check)
+        self._questions = node.background(self._ask)
         self._refused_since: float | None = None
         self._refused_before = 0
         self.refused = 0
@@ -42,10 +45,12 @@
     def start(self) -> None:
         """Start to check the age."""
         self._checks.start()
+        self._questions.start()
 
     async def stop(self) -> None:
         """Stop the checks; requests are still judged by the age."""
         self._checks.stop()
+        self._questions.stop()
 
     def allows_keys(self) -> bool:
         """Whether keys may be trusted at this moment."""
@@ -58,6 +63,11 @@
             self._report_change(age_s, limits)
         return allowed
 
+    @property
+    def _has_customers(self) -> bool:
+        table = self._routes.table
+        return table is not None and len(table.customers) > 0
+
     def _report_change(self, age_s: float, limits: KeyAgeLimits) -> None:
         now = self._node.boot_clock()
         known_age_s = round(age_s, 3) if isfinite(age_s) else None
@@ -71,11 +81,20 @@
         self._node.sink.emit(KeysAccepted(known_age_s, refused, seconds))
 
     async def _check(self) -> timedelta:
-        limits, table = self._node.settings.key_age_limits, self._routes.table
-        if limits is None or table is None or not len(table.customers):
-            return CHECK_INTERVAL
-        self.allows_keys()
-        if self._routes.age_s < limits.ask_from_s:
+        """Report a change without requests too."""
+        if self._has_customers:
+            self.allows_keys()
+        return CHECK_INTERVAL
+
+    async def _ask(self) -> timedelta:
+        """Ask the store whether the configuration is current, if it is getting old."""
+        limits = self._node.settings.key_age_limits
+        age_s = self._routes.age_s
+        if limits is None or age_s < limits.ask_from_s or not self._has_customers:
             return CHECK_INTERVAL
-        await self._routes.refresh()
-        return timedelta(seconds=self._node.random.uniform(*ASK_INTERVAL_S))
+        next_at = self._node.clock() + self._node.random.uniform(*ASK_INTERVAL_S)
+        # In a long outage only the watchers try the store; the others poll them.
+        waits = self._routes.lost and not self._sources.watches
+        waits = waits and not limits.allows_keys(age_s)
+        await self._routes.refresh(asks_store=not waits)
+        return max(CHECK_INTERVAL, timedelta(seconds=next_at - self._node.clock()))
--- a/packages/gateway/src/sycamorenotch_gateway/_routes.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_routes.py
@@ -63,9 +63,14 @@
         """
         return self._follower.age_s
 
-    async def refresh(self) -> None:
+    @property
+    def lost(self) -> bool:
+        """Whether the last call to the store for the configuration failed."""
+        return self._follower.lost
+
+    async def refresh(self, *, asks_store: bool) -> None:
         """Ask the store once, or else a peer, whether the configuration is current."""
-        await self._follower.refresh()
+        await self._follower.refresh(asks_store=asks_store)
 
     def apply(self, configuration: ForwardingConfiguration) -> None:
         """Apply a configuration if it is newer than the one in force."""
--- a/packages/policies/src/sycamorenotch_policies/customers/_configuration_age.py
+++ b/packages/policies/src/sycamorenotch_policies/customers/_configuration_age.py
@@ -9,9 +9,9 @@
 # Keys are refused this fraction of the bound early, so that the decision and the
 # drift of clocks stay within the bound.
 MARGIN_FRACTION = 0.05
-# From this fraction of the bound an instance asks the store itself. The rest is enough
-# for two such calls.
-ASK_FRACTION = 0.75
+# From this fraction of the bound, which calm ages do not reach, an instance asks the
+# store itself. An outage of a few seconds ends before keys are refused.
+ASK_FRACTION = 0.65
 # The age stays below this fraction of the bound while the store answers.
 CALM_FRACTION = 0.6
 # Longest wait of a follower's poll, as a fraction of the bound.
--- a/testing/gateway/test_follower.py
+++ b/testing/gateway/test_follower.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from math import inf
 from random import Random
 
 import pytest
 from expression import Error
 from expression import Ok
 from testing.platform.conftest import SETTINGS
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 from twisted.internet.testing import MemoryReactorClock
 
@@ -43,6 +45,9 @@
         self.down = False
         self.calls = 0
         self.polls = 0
+        # Age that the watchers state.
+        self.age_s: float | None = None
+        self.era = 1
 
     async def read(self, topic: Topic, *, fresh: bool):
         return self._answer()
@@ -54,13 +59,13 @@
         self.polls += 1
         if self.down:
             return Error(PollFailure("status 503", refused=True))
-        return Ok((Batch((), REVISION), False))
+        return Ok((Batch((), REVISION, self.era, self.age_s), False))
 
     def _answer(self):
         self.calls += 1
         if self.down:
             return Error(FeedError(FeedFault.UNAVAILABLE, "status 503"))
-        return Ok(Batch((), REVISION))
+        return Ok(Batch((), REVISION, self.era))
 
 
 class Harness:
@@ -81,6 +86,7 @@
             feed=self.store,
             dialect=dialects.get("platform")(),
             processor_clock=lambda: 0.0,
+            boot_clock=self.reactor.seconds,
         )
         relay = Relay(node)
         relay.live = lambda: tuple(
@@ -143,3 +149,42 @@
     harness.store.down = False
     harness.advance(RECOVERY_S + POLL_S)
     assert not harness.follower.lost
+
+
+def test_age_counts_from_when_the_poll_was_sent(harness) -> None:
+    """Guards against an age that starts anew when a late answer arrives."""
+    polls, harness.store.age_s = harness.store.polls, 0.25
+    while harness.store.polls < polls + 2:
+        harness.advance(STEP_S)
+    assert harness.follower.age_s == pytest.approx(POLL_S + 0.25, abs=2 * STEP_S)
+    harness.advance(POLL_S / 2)
+    assert harness.follower.age_s == pytest.approx(1.5 * POLL_S + 0.25, abs=2 * STEP_S)
+
+
+def test_watcher_that_states_no_age_gives_none() -> None:
+    """Guards against trust in watchers of an earlier release."""
+    harness = Harness()
+    harness.advance(5.0)
+    assert harness.follower.complete
+    assert harness.store.calls == 0
+    assert harness.follower.age_s == inf
+
+
+@pytest.mark.parametrize(
+    ("asks_store", "era", "proven"),
+    [(True, 1, True), (False, 1, False), (True, 2, False)],
+)
+def test_lost_store_is_asked_for_the_age_when_allowed(
+    harness, asks_store, era, proven
+) -> None:
+    """Guards against keys that stay refused until a silent call of the follower ends.
+
+    What a store in another era answers proves nothing of the items at hand.
+    """
+    harness.store.down = True
+    harness.advance(20.0)
+    assert harness.follower.lost
+    calls, harness.store.down, harness.store.era = harness.store.calls, False, era
+    Deferred.fromCoroutine(harness.follower.refresh(asks_store=asks_store))
+    assert harness.store.calls - calls == asks_store
+    assert (harness.follower.age_s < STEP_S) is proven
--- a/testing/policies/test_customers.py
+++ b/testing/policies/test_customers.py
@@ -139,5 +139,4 @@
     after_change_s = first_s * changed + transit_s + 0.2
     next_s = limits.watch_wait_s(after_change_s) + transit_s
     oldest_s = after_change_s + next_s + limits.poll_wait_s + 2 * transit_s
-    assert oldest_s < LIMITS.ask_from_s / 5.0 * revocation_s + 0.2
-    assert limits.ask_from_s < limits.refuse_from_s < revocation_s
+    assert oldest_s < limits.refuse_from_s < revocation_s
