Divide the quota of a customer by the demand of each instance

Cause: nothing keeps the quota of a customer over all instances; each would have to admit all of it or an even part. Liveness tells the longest interval of heartbeats and whether one is the newest.

--- a/packages/policies/src/sycamorenotch_policies/_liveness.py
+++ b/packages/policies/src/sycamorenotch_policies/_liveness.py
@@ -65,6 +65,8 @@
     :param demand: requests per second that callers send it, by service; none if it
         does not report them.
     :param limits: rate limits of workers that it observed lately.
+    :param quotas: its demand of customers with quotas, as encoded; none if it states
+        none.
     """
 
     entry: PeerEntry
@@ -74,6 +76,7 @@
     usage: Resources = NO_USAGE
     demand: Mapping[str, float] | None = None
     limits: tuple[RateLimitReport, ...] = ()
+    quotas: bytes | None = None
 
 
 @final
@@ -134,6 +137,21 @@
         near, _ = self._split_recipients()
         return near_interval_s(len(near))
 
+    @property
+    def longest_interval_s(self) -> float:
+        """Longest interval between two heartbeats of one instance, in seconds."""
+        near, far = self._split_recipients()
+        if not far:
+            return near_interval_s(len(near))
+        # As other regions may be larger than the own one, and send in longer turns.
+        turn_s = near_interval_s(max(len(near), len(far)))
+        return max(turn_s, far_interval_s(len(far)))
+
+    def is_newest(self, heartbeat: Heartbeat) -> bool:
+        """Return whether a heartbeat is the last one recorded of its instance."""
+        received = self._received.get(heartbeat.entry.id)
+        return received is not None and received.heartbeat is heartbeat
+
     def next_recipients(self) -> tuple[PeerEntry, ...]:
         """Return the instances that get a heartbeat in this turn.
 
