Keep quotas of customers at gateways through heartbeats

Cause: the demand of customers at other instances is not known, and no request is ever refused for its customer's quota. Change: heartbeats have an optional field with the demand of customers; the component customer-quotas admits requests, and writes events 6170 to 6172 and a counter. The forwarder asks it after the quarantine. Without customers datagrams are as before.

--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -137,6 +137,54 @@
     in_force_revision: int
 
 
+@event(6170, "quota.exceeded", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class QuotaExceeded(Event):
+    """A customer's requests were refused as beyond its quota, at most once a second.
+
+    :param rate: the quota, in requests per second.
+    :param mode: how requests are admitted: ``share`` by tokens of the own share,
+        ``chance`` at random.
+    :param share: part of the quota that this instance may use.
+    :param demand: known demand of all reached instances, in requests per second.
+    :param debt: requests admitted beyond the share, or beyond the quota if by chance.
+    :param reached: number of other instances whose demand is known.
+    :param known_age_s: age of the oldest of these reports.
+    :param refused: requests refused since the last such line.
+    """
+
+    customer: str
+    rate: float
+    mode: str
+    share: float
+    demand: float
+    debt: float
+    reached: int
+    known_age_s: float
+    refused: int
+
+
+@event(6171, "quota.shares-frozen", Severity.WARNING)
+@final
+@dataclass(frozen=True, slots=True)
+class QuotaSharesFrozen(Event):
+    """Fewer than half of the other instances are heard from; shares do not rise."""
+
+    reached: int
+    instances: int
+
+
+@event(6172, "quota.shares-resumed")
+@final
+@dataclass(frozen=True, slots=True)
+class QuotaSharesResumed(Event):
+    """At least half of the other instances are heard from again."""
+
+    reached: int
+    instances: int
+
+
 @event(6201, "worker.changed")
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -15,6 +15,7 @@
 
 from sycamorenotch_gateway._attempts import AttemptOutcome
 from sycamorenotch_gateway._attempts import Attempts
+from sycamorenotch_gateway._customer_quotas import CustomerQuotaGate
 from sycamorenotch_gateway._events import RequestAbandoned
 from sycamorenotch_gateway._events import RequestAnswered
 from sycamorenotch_gateway._events import RequestRefused
@@ -82,7 +83,10 @@
 class Forwarder:
     """Forwards requests to workers, with retries within the retry budget."""
 
-    after: ClassVar[tuple[str, ...]] = ("routes", "workers", "peers", "suspicion")
+    after: ClassVar[tuple[str, ...]] = (
+        *("routes", "workers", "peers", "suspicion"),
+        "customer-quotas",
+    )
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
@@ -91,6 +95,7 @@
         self._peers = node.require(Peers)
         self._attempts = Attempts(node)
         self._suspicion = node.require(CrashSuspicion)
+        self._quotas = node.require(CustomerQuotaGate)
         self._retry_budget = RetryBudget(self._retry_limits)
         directory = self._workers.directory
         self._choice: WorkerChoice = worker_choices.get("affinity")(
@@ -139,6 +144,9 @@
         quarantine_refusal = self._suspicion.refusal(self._suspicion.signature_of(call))
         if quarantine_refusal is not None:
             return Error(quarantine_refusal)
+        quota_refusal = self._quota_refusal(call)
+        if quota_refusal is not None:
+            return Error(quota_refusal)
         progress.service = pick_service(route, hash_to_unit_interval("split", call.id))
         self._workers.demand.record_request(progress.service, self._node.clock())
         timeout_s = DEFAULT_TIMEOUT_S if call.patience_s is None else call.patience_s
@@ -150,6 +158,12 @@
             call, route, progress, progress.started_at + limit_s
         )
 
+    def _quota_refusal(self, call: ForwardCall) -> Refusal | None:
+        customer = self._quotas.customer_of(call.key_digest)
+        if customer is None:
+            return None
+        return self._quotas.admit(customer, self._node.clock(), call.patience_s)
+
     def _retry_limits(self) -> RetryLimits:
         bounds = self._node.settings.bounds
         window_s = bounds.retry_window.total_seconds()
--- a/packages/gateway/src/sycamorenotch_gateway/_heartbeats.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_heartbeats.py
@@ -90,6 +90,7 @@
     strikes: tuple[StrikeMessage, ...] = ()
     demand: dict[str, float] | None = None
     limits: tuple[RateLimitMessage, ...] = ()
+    quotas: bytes | None = None
 
 
 class CompactHeartbeatMessage(BaseModel):
@@ -112,6 +113,7 @@
     kilobits: int = _wire_name("k")
     demand: dict[str, float] | None = _optional_wire_name("d", None)
     limits: tuple[RateLimitMessage, ...] = _optional_wire_name("l", ())
+    quotas: bytes | None = _optional_wire_name("q", None)
 
 
 @final
@@ -152,6 +154,7 @@
                 kilobits=round(heartbeat.usage.link_mbps * MILLI_PER_UNIT),
                 demand=_demand_message(heartbeat) if demand else None,
                 limits=_limit_messages(heartbeat),
+                quotas=heartbeat.quotas,
             )
         packed: bytes = msgpack.packb(
             message.model_dump(by_alias=True, exclude_defaults=True)
@@ -190,6 +193,7 @@
             usage=usage,
             demand=known.demand if message.demand is None else message.demand,
             limits=tuple(map(_to_limit_report, message.limits)),
+            quotas=message.quotas,
         )
 
     def _remember(self, heartbeat: Heartbeat) -> None:
@@ -221,6 +225,7 @@
         strikes=tuple(map(_strike_message, strikes)),
         demand=_demand_message(heartbeat),
         limits=_limit_messages(heartbeat),
+        quotas=heartbeat.quotas,
     )
 
 
@@ -261,6 +266,7 @@
         Resources(message.used_processors, message.used_link_mbps),
         message.demand,
         tuple(map(_to_limit_report, message.limits)),
+        message.quotas,
     )
 
 
--- a/packages/gateway/src/sycamorenotch_gateway/_metrics.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_metrics.py
@@ -13,6 +13,7 @@
 from aioprometheus.renderer import render
 from expression import Result
 
+from sycamorenotch_gateway._customer_quotas import CustomerQuotaGate
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._peers import Peers
 from sycamorenotch_gateway._routes import Routes
@@ -31,13 +32,17 @@
 class GatewayMetrics:
     """Collects the metrics and renders the metrics page."""
 
-    after: ClassVar[tuple[str, ...]] = ("peers", "routes", "sources", "workers")
+    after: ClassVar[tuple[str, ...]] = (
+        *("peers", "routes", "sources", "workers"),
+        "customer-quotas",
+    )
 
     def __init__(self, node: GatewayNode) -> None:
         self._peers = node.require(Peers)
         self._routes = node.require(Routes)
         self._sources = node.require(Sources)
         self._workers = node.require(Workers)
+        self._quotas = node.require(CustomerQuotaGate)
         self._registry = Registry()
         options: dict[str, Any] = {"registry": self._registry}
         self._requests = Counter(
@@ -66,6 +71,11 @@
             "Time since the store, or a watcher of it, last answered for a topic.",
             **options,
         )
+        self._quota_requests = Counter(
+            "sycamorenotch_gateway_quota_requests_total",
+            "Requests of customers with a quota by customer and decision.",
+            **options,
+        )
         node.provide(GatewayMetrics, self)
 
     def start(self) -> None:
@@ -97,5 +107,8 @@
         self._usage.set({"of": "link_mbps"}, round(used_resources.link_mbps, 3))
         for topic, age_s in self._sources.ages_s().items():
             self._ages.set({"topic": topic.value}, round(age_s, 3))
+        for (customer, decision), count in self._quotas.counts.items():
+            labels = {"customer": customer, "decision": decision}
+            self._quota_requests.set(labels, count)
         body, _ = render(self._registry, [TEXT_FORMAT])
         return body, TEXT_FORMAT
--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -10,6 +10,7 @@
 
 from twisted.internet.protocol import DatagramProtocol
 
+from sycamorenotch_gateway._customer_quotas import CustomerQuotaGate
 from sycamorenotch_gateway._events import AnnouncementFailed
 from sycamorenotch_gateway._events import DatagramRejected
 from sycamorenotch_gateway._events import PeerJoined
@@ -45,7 +46,10 @@
 class Peers(DatagramProtocol):
     """Announces this instance and exchanges heartbeats with the others."""
 
-    after: ClassVar[tuple[str, ...]] = ("relay", "routes", "workers", "suspicion")
+    after: ClassVar[tuple[str, ...]] = (
+        *("relay", "routes", "workers", "suspicion"),
+        "customer-quotas",
+    )
     noisy = False
 
     def __init__(self, node: GatewayNode) -> None:
@@ -63,6 +67,7 @@
         self._routes = node.require(Routes)
         self._workers = node.require(Workers)
         self._suspicion = node.require(CrashSuspicion)
+        self._quotas = node.require(CustomerQuotaGate)
         self._relay = node.require(Relay)
         self._relay.peers = lambda: tuple(
             heartbeat.entry for heartbeat in self.failure_detector.serving(node.clock())
@@ -161,6 +166,16 @@
         if self.failure_detector.observe(heartbeat, self._node.clock()):
             self._node.sink.emit(PeerJoined(heartbeat.entry.id, self.live_count))
             self._send(self._message(full=True), heartbeat.entry)
+        self._learn_quotas(heartbeat)
+
+    def _learn_quotas(self, heartbeat: Heartbeat) -> None:
+        # A heartbeat that arrives late would replace newer demand.
+        if not self.failure_detector.is_newest(heartbeat):
+            return
+        try:
+            self._quotas.learn(heartbeat, self._node.clock())
+        except ValueError as exc:
+            self._node.sink.emit(DatagramRejected(heartbeat.entry.id, str(exc)))
 
     async def _heartbeat_turn(self) -> timedelta:
         self._send_heartbeats()
@@ -169,7 +184,11 @@
         return timedelta(seconds=self.failure_detector.interval_s)
 
     def _send_heartbeats(self) -> None:
-        self._workers.reported_demand = self._workers.demand.read(self._node.clock())
+        now = self._node.clock()
+        self._workers.reported_demand = self._workers.demand.read(now)
+        peers = self.failure_detector
+        listed = len(peers.recipients())
+        self._quotas.update_report(listed, peers.longest_interval_s, now)
         message = self._message()
         for entry in self.failure_detector.next_recipients():
             self._send(message, entry)
@@ -181,7 +200,7 @@
         now = self._node.clock()
         limits = directory.rate_limit_reports(now, MAX_LIMITS_PER_HEARTBEAT)
         return self._codec.encode(
-            replace(self._own_heartbeat(), limits=limits),
+            replace(self._own_heartbeat(), limits=limits, quotas=self._quotas.report),
             strikes,
             full=full,
             demand=directory.limited_count() > 0,
--- a/testing/gateway/test_heartbeats.py
+++ b/testing/gateway/test_heartbeats.py
@@ -13,6 +13,7 @@
 from sycamorenotch_gateway._heartbeats import HeartbeatCodec
 from sycamorenotch_gateway._peers import MAX_DATAGRAM_BYTES
 from sycamorenotch_gateway._peers import MAX_LIMITS_PER_HEARTBEAT
+from sycamorenotch_gateway._quota_reports import QuotaReportCodec
 from sycamorenotch_gateway._suspicion import MAX_STRIKES_PER_HEARTBEAT
 from sycamorenotch_kernel import PeerEntry
 from sycamorenotch_kernel import Resources
@@ -22,9 +23,12 @@
 from sycamorenotch_policies import Strike
 from sycamorenotch_policies import sign_request
 from sycamorenotch_policies._rate_shares import MAX_SERVICES
+from sycamorenotch_policies.customer_quotas import DemandReport
+from sycamorenotch_policies.customer_quotas._quotas import MAX_REPORTED
 
 ENTRY = PeerEntry("a-1", "west", "a", "10.0.0.1:80", "10.0.0.1:90", 1_700_000_000_000)
 REGULAR = FULL_HEARTBEAT_EVERY * FULL_HEARTBEATS_AT_START + 1
+LARGEST_REPORT = {f"c-{n}": DemandReport(123.4, 0.1) for n in range(MAX_REPORTED)}
 STRIKE = Strike(Signature("s"), "i-1", "a-1/1", 1, timedelta(seconds=1))
 
 
@@ -137,6 +141,21 @@
     assert found.limits == ()
 
 
+@pytest.mark.parametrize("sequence", [1, REGULAR])
+def test_demand_of_customers_is_in_every_kind_of_heartbeat(
+    sender, receiver, sequence
+) -> None:
+    receiver.decode(sender.encode(heartbeat(1), ()))
+    sent = dataclasses.replace(heartbeat(sequence + 1), quotas=b"\x01\x02\x03\x04")
+    assert receiver.decode(sender.encode(sent, ()))[0] == sent
+
+
+# Without customers, an instance that is not yet replaced gets what it always got.
+def test_heartbeat_without_customers_has_no_field_for_them(sender) -> None:
+    for sequence, field in ((1, "quotas"), (REGULAR, "q")):
+        assert field not in msgpack.unpackb(sender.encode(heartbeat(sequence), ()))
+
+
 # An instance that is not yet replaced knows neither demand nor limits.
 def test_heartbeat_without_demand_is_read(sender, receiver) -> None:
     message = msgpack.unpackb(sender.encode(heartbeat(1), ()))
@@ -161,6 +180,7 @@
         Resources(1.123456, 999.123456),
         {f"service-with-a-long-name-{n}": 123.4 for n in range(MAX_SERVICES)},
         (RateLimitReport("i-eb5e43d719", 12.345, 9.999),) * MAX_LIMITS_PER_HEARTBEAT,
+        QuotaReportCodec(LARGEST_REPORT).encode(LARGEST_REPORT),
     )
     origin = "frontend-torrelavega-a-123/1700000000000"
     signature = sign_request("h", "GET", "/", b"")
