--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -15,6 +15,7 @@
 
 from sycamorenotch_gateway._attempts import AttemptOutcome
 from sycamorenotch_gateway._attempts import Attempts
+from sycamorenotch_gateway._customer_quotas import CustomerQuotaGate
 from sycamorenotch_gateway._events import RequestAbandoned
 from sycamorenotch_gateway._events import RequestAnswered
 from sycamorenotch_gateway._events import RequestRefused
@@ -85,11 +86,8 @@
     """Forwards requests to workers, with retries within the retry budget."""
 
     after: ClassVar[tuple[str, ...]] = (
-        "routes",
-        "workers",
-        "peers",
-        "suspicion",
-        "identity",
+        *("routes", "workers", "peers", "suspicion"),
+        *("identity", "customer-quotas"),
     )
 
     def __init__(self, node: GatewayNode) -> None:
@@ -100,6 +98,7 @@
         self._attempts = Attempts(node)
         self._suspicion = node.require(CrashSuspicion)
         self._identity = node.require(Identity)
+        self._quotas = node.require(CustomerQuotaGate)
         self._retry_budget = RetryBudget(self._retry_limits)
         directory = self._workers.directory
         self._choice: WorkerChoice = worker_choices.get("affinity")(
@@ -152,6 +151,9 @@
         if isinstance(caller, Refusal):
             return Error(caller)
         route = caller.route
+        quota_refusal = self._quota_refusal(caller, call)
+        if quota_refusal is not None:
+            return Error(quota_refusal)
         progress.service = pick_service(route, hash_to_unit_interval("split", call.id))
         self._workers.demand.record_request(progress.service, self._node.clock())
         timeout_s = DEFAULT_TIMEOUT_S if call.patience_s is None else call.patience_s
@@ -163,6 +165,13 @@
             call, caller, progress, progress.started_at + limit_s
         )
 
+    def _quota_refusal(
+        self, caller: IdentifiedCaller, call: ForwardCall
+    ) -> Refusal | None:
+        if caller.customer is None:
+            return None
+        return self._quotas.admit(caller.customer, self._node.clock(), call.patience_s)
+
     def _retry_limits(self) -> RetryLimits:
         bounds = self._node.settings.bounds
         window_s = bounds.retry_window.total_seconds()
--- a/packages/gateway/src/sycamorenotch_gateway/_metrics.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_metrics.py
@@ -13,6 +13,7 @@
 from aioprometheus.renderer import render
 from expression import Result
 
+from sycamorenotch_gateway._customer_quotas import CustomerQuotaGate
 from sycamorenotch_gateway._identity import Identity
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._peers import Peers
@@ -33,11 +34,8 @@
     """Collects the metrics and renders the metrics page."""
 
     after: ClassVar[tuple[str, ...]] = (
-        "identity",
-        "peers",
-        "routes",
-        "sources",
-        "workers",
+        *("peers", "routes", "sources", "workers"),
+        *("identity", "customer-quotas"),
     )
 
     def __init__(self, node: GatewayNode) -> None:
@@ -46,6 +44,7 @@
         self._routes = node.require(Routes)
         self._sources = node.require(Sources)
         self._workers = node.require(Workers)
+        self._quotas = node.require(CustomerQuotaGate)
         self._registry = Registry()
         options: dict[str, Any] = {"registry": self._registry}
         self._requests = Counter(
@@ -84,6 +83,11 @@
             "Time since the moment up to which the configuration is known current.",
             **options,
         )
+        self._quota_requests = Counter(
+            "sycamorenotch_gateway_quota_requests_total",
+            "Requests of customers with a quota by customer and decision.",
+            **options,
+        )
         node.provide(GatewayMetrics, self)
 
     def start(self) -> None:
@@ -116,6 +120,9 @@
         for topic, age_s in self._sources.ages_s().items():
             self._ages.set({"topic": topic.value}, round(age_s, 3))
         self._render_keys()
+        for (customer, decision), count in self._quotas.counts.items():
+            labels = {"customer": customer, "decision": decision}
+            self._quota_requests.set(labels, count)
         body, _ = render(self._registry, [TEXT_FORMAT])
         return body, TEXT_FORMAT
 
