Choose the worker that is likely to finish a request first

Cause: workers were compared by the number of their requests, whatever these cost, how slow the machine is at the moment, and whether it has the object warm. An object in demand had two owners at the most. Change: the choice "earliest-finish" with estimates of cost by route and warmth, of the work left at a worker and of its speed; the number of owners of an object follows its demand; requests leave the region of the first owner gradually; ranks fill queues to different depths. Nothing uses the choice yet. Measured: testing/policies/test_load_patterns.py passes with the changed model; make lint types.

--- a/packages/policies/src/sycamorenotch_policies/_object_owners.py
+++ b/packages/policies/src/sycamorenotch_policies/_object_owners.py
@@ -33,6 +33,7 @@
     identity: tuple[tuple[str, int], ...] = ()
     version: int = 0
     cumulative_slots: list[int] = field(default_factory=list)
+    by_region: dict[str, list[WorkerView]] = field(default_factory=dict)
 
 
 @final
@@ -77,10 +78,20 @@
             self._orders.popitem(last=False)
         return (views[index] for index in order)
 
+    def of_region(
+        self, service: str, region: str, views: tuple[WorkerView, ...]
+    ) -> list[WorkerView]:
+        """Return the workers in a region; callers must not change the list."""
+        by_region = self._update(service, views).by_region
+        if region not in by_region:
+            by_region[region] = [view for view in views if view.region == region]
+        return by_region[region]
+
     def _update(self, service: str, views: tuple[WorkerView, ...]) -> _ServiceWorkers:
         workers = self._services.setdefault(service, _ServiceWorkers())
         if workers.views is not views:
             workers.views = views
+            workers.by_region.clear()
             identity = tuple((view.entry.id, view.entry.slots) for view in views)
             if identity != workers.identity:
                 workers.identity = identity
--- a/packages/policies/src/sycamorenotch_policies/_overdue.py
+++ b/packages/policies/src/sycamorenotch_policies/_overdue.py
@@ -6,6 +6,8 @@
 from math import inf
 from typing import final
 
+from sycamorenotch_policies.work._worker_work import ExpectedRun
+
 # Smoothing factors of the moving averages of the latency and of its deviation.
 MEAN_WEIGHT = 0.125
 DEVIATION_WEIGHT = 0.25
@@ -18,6 +20,8 @@
 # A tail beyond this fraction of the time left says that the service is slow as a
 # whole. A second try would then add load and come too late.
 MAX_TAIL_FRACTION = 0.75
+# Multiple of its likely time that the second worker has before the deadline.
+SECOND_WORKER_MARGIN = 1.5
 
 
 @final
@@ -49,8 +53,41 @@
         return self.mean_s + TAIL_DEVIATIONS * self.deviation_s
 
 
+def overdue_run_s(
+    run: ExpectedRun,
+    tail_s: float,
+    second_s: float,
+    *,
+    target_s: float,
+    time_left_s: float,
+) -> float:
+    """Return after how long a run is so late that a second worker is tried.
+
+    Three runs in a hundred take seven times the mean, so a run beyond the likely tail
+    has most of its time before it.
+
+    :param tail_s: cost at the usual speed that few runs of its kind exceed.
+    :param second_s: likely time that another worker takes.
+    :param target_s: latency up to which an answer has its full value.
+    :param time_left_s: time until the deadline, at the start of the first attempt.
+    :return: seconds since the start of the first attempt, infinite if no second
+        worker should be tried for this reason.
+    """
+    late_s = run.round_trip_s + 2.0 * run.wait_s + tail_s * run.slowdown
+    if late_s + second_s <= target_s:
+        return late_s
+    # The second answer would be late too, so the first one gets all the time that it
+    # can have without the request failing.
+    last_s = time_left_s - SECOND_WORKER_MARGIN * second_s
+    return last_s if last_s >= late_s else inf
+
+
 def overdue_after_s(
-    estimate: LatencyEstimate, time_left_s: float, *, suspect: bool
+    estimate: LatencyEstimate,
+    time_left_s: float,
+    *,
+    suspect: bool,
+    run: ExpectedRun | None = None,
 ) -> float:
     """Return after how long without an answer a second worker is tried.
 
@@ -60,15 +97,17 @@
     :param estimate: latencies of the service's answers to this instance.
     :param time_left_s: time until the deadline, at the start of the first attempt.
     :param suspect: whether other workers in the same data centre cannot be reached.
+    :param run: what was expected of the first attempt; none without estimates.
     :return: seconds since the start of the first attempt, infinite if no second
         worker should be tried.
     """
+    run_s = inf if run is None else run.overdue_s
     if suspect:
-        return MIN_WAIT_S
+        return min(MIN_WAIT_S, run_s)
     tail_s = estimate.tail_s
     longest_s = FIRST_WORKER_FRACTION * time_left_s
     if tail_s is None:
-        return max(MIN_WAIT_S, longest_s)
+        return min(run_s, max(MIN_WAIT_S, longest_s))
     if tail_s > MAX_TAIL_FRACTION * time_left_s:
-        return inf
-    return max(MIN_WAIT_S, min(tail_s, longest_s))
+        return run_s
+    return min(run_s, max(MIN_WAIT_S, min(tail_s, longest_s)))
--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -16,6 +16,8 @@
 from sycamorenotch_policies._service_load import ServiceLoad
 from sycamorenotch_policies._worker_view import ColdCause
 from sycamorenotch_policies._worker_view import WorkerView
+from sycamorenotch_policies.work._service_work import ServiceWork
+from sycamorenotch_policies.work._worker_work import WorkerWork
 
 # A data centre is suspect while at least this many of its workers could not be
 # reached within the last seconds.
@@ -58,6 +60,7 @@
         self._services: dict[str, tuple[WorkerView, ...]] = {}
         self._estimates: dict[str, LatencyEstimate] = {}
         self._service_loads: dict[str, ServiceLoad] = {}
+        self.service_work: dict[str, ServiceWork] = {}
         self._evacuated: frozenset[str] = frozenset()
         # They outlive the entries, which may lapse and come back, or not say so yet.
         self._departures: OrderedDict[str, _Departure] = OrderedDict()
@@ -264,7 +267,9 @@
         region = self._region_of(entry.data_centre)
         estimate = self._estimates.setdefault(entry.service, LatencyEstimate())
         service_load = self._service_loads.setdefault(entry.service, ServiceLoad())
+        service_work = self.service_work.setdefault(entry.service, ServiceWork())
         view = WorkerView(entry, region, now, estimate, service_load)
+        view.work = WorkerWork(service_work)
         if entry.cold_s > 0:
             view.cold_until = now + entry.cold_s
         return view
--- a/packages/policies/src/sycamorenotch_policies/_worker_request.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_request.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from typing import Protocol
 from typing import final
 
 from sycamorenotch_kernel import ForwardingRoute
 from sycamorenotch_policies._worker_view import WorkerView
+from sycamorenotch_policies.work._worker_work import ExpectedRun
 
 # Assumed latency of a worker that has not answered yet.
 DEFAULT_LATENCY_S = 0.5
@@ -24,12 +26,16 @@
 
     :param object_key: affinity key; if it is empty, the owners are random.
     :param tried: identifiers of workers that received the request already.
+    :param time_left_s: time until the deadline, in seconds.
+    :param beside: whether an attempt at another worker is still in flight.
     """
 
     route: ForwardingRoute
     service: str
     object_key: str
     tried: frozenset[str] = frozenset()
+    time_left_s: float = inf
+    beside: bool = False
 
 
 @final
@@ -39,11 +45,13 @@
 
     :param load: estimated requests per slot, running and queued.
     :param reason: why this worker was chosen, for the log.
+    :param run: what is expected of the request; none without estimates of work.
     """
 
     view: WorkerView
     load: float
     reason: str
+    run: ExpectedRun | None = None
 
 
 @final
--- a/packages/policies/src/sycamorenotch_policies/_worker_view.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_view.py
@@ -16,6 +16,8 @@
 from sycamorenotch_policies._overdue import LatencyEstimate
 from sycamorenotch_policies._rate_limit import WorkerRateLimit
 from sycamorenotch_policies._service_load import ServiceLoad
+from sycamorenotch_policies.work._worker_work import ExpectedRun
+from sycamorenotch_policies.work._worker_work import WorkerWork
 
 # A load report is stale after the service time of a few requests.
 REPORT_LIFETIME_S = 1.5
@@ -74,6 +76,7 @@
     :param last_sent_at: time of the last request of this instance.
     :param sent: send times of the requests of the last second.
     :param load_ignored: whether figures of its load reports had to be ignored.
+    :param work: runs in flight, speed and warm objects.
     :param in_flight_since: send times of the requests in flight.
     """
 
@@ -100,6 +103,7 @@
     last_sent_at: float = -1e9
     sent: deque[float] = field(default_factory=deque)
     load_ignored: bool = False
+    work: WorkerWork = field(default_factory=WorkerWork)
     in_flight_since: list[float] = field(default_factory=list)
 
     @property
@@ -146,9 +150,16 @@
         self.others_in_flight = max(0.0, total - own)
         self.service_load.observe(total / self.entry.slots, now)
         self.reported_at = now
+        if report.slowdown is not None:
+            self.work.observe_slowdown(report.slowdown, now)
 
-    def record_start(self, now: float) -> None:
-        """Record that a request is sent."""
+    def record_start(self, now: float, run: ExpectedRun | None = None) -> None:
+        """Record that a request is sent.
+
+        :param run: what is expected of it, if there are estimates.
+        """
+        if run is not None:
+            self.work.start(run, now)
         if self.rate.limit is not None:
             self.rate.allowance.take(now)
         self.in_flight_since.append(now)
@@ -157,11 +168,14 @@
         while self.sent and self.sent[0] <= now - 1.0:
             self.sent.popleft()
 
-    def record_end(self, begun: float) -> None:
+    def record_end(self, begun: float, run: ExpectedRun | None = None) -> None:
         """Record that a request is no longer in flight.
 
         :param begun: time that was passed to :meth:`record_start`.
+        :param run: expectation that was passed to it.
         """
+        if run is not None:
+            self.work.end(run)
         self.in_flight_since.remove(begun)
 
     def sent_last_second(self, now: float) -> int:
--- a/packages/policies/src/sycamorenotch_policies/plugins.py
+++ b/packages/policies/src/sycamorenotch_policies/plugins.py
@@ -5,3 +5,4 @@
 from sycamorenotch_kernel import import_private_modules
 
 import_private_modules("sycamorenotch_policies")
+import_private_modules("sycamorenotch_policies.work")
--- /dev/null
+++ b/packages/policies/src/sycamorenotch_policies/work/_earliest_finish.py
@@ -0,0 +1,249 @@
+"""Choice of the worker that is likely to finish a request first.
+
+For services whose workers state how long work currently takes on their machines.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+from itertools import islice
+from math import inf
+from random import Random
+from typing import final
+
+from sycamorenotch_kernel import RequestKind
+from sycamorenotch_kernel import ServiceLimits
+from sycamorenotch_kernel import worker_choices
+from sycamorenotch_policies._object_owners import ObjectOwners
+from sycamorenotch_policies._rate_shares import RateShares
+from sycamorenotch_policies._worker_filter import WorkerFilter
+from sycamorenotch_policies._worker_filter import drop_unresponsive
+from sycamorenotch_policies._worker_request import MIN_RETRY_AFTER_S
+from sycamorenotch_policies._worker_request import ChosenWorker
+from sycamorenotch_policies._worker_request import MayWarmUp
+from sycamorenotch_policies._worker_request import NoCapacity
+from sycamorenotch_policies._worker_request import WorkerRequest
+from sycamorenotch_policies._worker_view import WorkerView
+from sycamorenotch_policies.work._candidates import BUSY_LOAD_PER_SLOT
+from sycamorenotch_policies.work._candidates import Candidate
+from sycamorenotch_policies.work._candidates import assess
+from sycamorenotch_policies.work._candidates import has_room
+from sycamorenotch_policies.work._candidates import longest_wait_s
+from sycamorenotch_policies.work._candidates import overdue_s
+from sycamorenotch_policies.work._costs import Warmth
+from sycamorenotch_policies.work._object_copies import BUSY_PER_SLOT
+from sycamorenotch_policies.work._object_copies import ObjectCopies
+from sycamorenotch_policies.work._region_spill import RegionSpill
+
+# Each further owner of an object costs one more cold run.
+OWNERS = 2
+OWNERS_WHEN_BUSY = 4
+# Random workers of the own region, for requests that would wait at all owners.
+SPILL_WORKERS = 2
+# The first owner keeps an object unless another worker finishes earlier by this part
+# of its cost.
+MARGIN = 0.25
+# Cold runs that a further copy of an object causes: its own, and one for the object
+# that the worker forgets in its place.
+COLD_RUNS = 2.0
+# Part of the cost for a cold object that a warm one saves.
+COLD_EXTRA = 0.6
+# Random part of a finish, in seconds, so that instances which know the same do not all
+# choose the same worker.
+JITTER_S = 0.01
+
+
+@worker_choices.register("earliest-finish")
+@final
+class EarliestFinishChoice:
+    """Sends a request to the owner of its object that is likely to finish it first.
+
+    Few workers are compared: the first owners of the object by weighted rendezvous
+    hashing and, if it would wait there, random workers of the own region.
+
+    :param region: region of this instance.
+    :param limits: limits of each service, by its name.
+    :param may_warm_up: returns whether this instance is the one that sends
+        requests to a cold worker.
+    :param random: breaks ties, and spreads requests that have no object key.
+    :param shares: divides the rate limits of workers among the instances; without it,
+        this instance is the only one.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        limits: dict[str, ServiceLimits],
+        may_warm_up: MayWarmUp,
+        random: Random,
+        shares: RateShares | None = None,
+    ) -> None:
+        self._region = region
+        self._random = random
+        self._filter = WorkerFilter(limits, may_warm_up, shares)
+        self._owners = ObjectOwners(random)
+        self._copies = ObjectCopies()
+        self._spill = RegionSpill(random)
+
+    def choose(
+        self, request: WorkerRequest, views: tuple[WorkerView, ...], now: float
+    ) -> ChosenWorker | NoCapacity:
+        """Choose among the workers of the service.
+
+        :param now: monotonic time in seconds.
+        """
+        silent: list[WorkerView] = []
+        owners = self._accepted_owners(request, views, silent, now)
+        key = request.object_key if request.route.sticky else ""
+        copies = self._copies.count(request.service, key, now) if key else OWNERS
+        first = list(islice(owners, max(copies, OWNERS))) or silent[:OWNERS]
+        if not first:
+            return self._filter.refusal(request, views, now)
+        found = self._assess_owners(request, first, copies, now)
+        busy = first[0].service_load.per_slot(now) >= BUSY_LOAD_PER_SLOT
+        if not (busy and key) and all(c.run.wait_s > 0 for c in found):
+            found += self._further(request, views, owners, found, now)
+        fitting = [c for c in found if has_room(request, c, now)]
+        if fitting:
+            return self._best(request, found[0], fitting, now)
+        return self._refuse(request, found, now)
+
+    def _assess_owners(
+        self,
+        request: WorkerRequest,
+        owners: list[WorkerView],
+        copies: int,
+        now: float,
+    ) -> list[Candidate]:
+        """Estimate the finish at the owners, the one that is preferred first.
+
+        :param copies: number of owners that share the requests for the object.
+        """
+        key = request.object_key
+        busy = owners[0].service_load.per_slot(now) >= BUSY_LOAD_PER_SLOT
+        shared = [(v, i) for i, v in enumerate(owners[:copies])]
+        if copies > OWNERS:
+            shared = self._random.sample(shared, OWNERS)
+        elif copies > 1:
+            self._random.shuffle(shared)
+        found = [self._assess(request, view, i, now) for view, i in shared]
+        if key and not busy and found[0].per_slot >= BUSY_PER_SLOT:
+            self._copies.record_busy(request.service, key, now)
+        for i in range(copies, len(owners)):
+            candidate = self._assess(request, owners[i], None, now)
+            if not busy or candidate.run.warmth is Warmth.SEEN:
+                found.append(candidate)
+        return found
+
+    def _accepted_owners(
+        self,
+        request: WorkerRequest,
+        views: tuple[WorkerView, ...],
+        silent: list[WorkerView],
+        now: float,
+    ) -> Iterator[WorkerView]:
+        """Return the owners that may get the request, in their order.
+
+        :param silent: gets those that are unresponsive.
+        """
+        key = request.object_key if request.route.sticky else ""
+        ordered = self._owners.ordered(request.service, key, views)
+        if request.route.kind is RequestKind.DOWNLOAD:
+            # Sending a large answer between regions costs more than a second owner.
+            ordered = iter(sorted(ordered, key=lambda v: v.region != self._region))
+        accepted = (v for v in ordered if self._filter.accepts(request, v, now))
+        return drop_unresponsive(accepted, silent, now)
+
+    def _further(
+        self,
+        request: WorkerRequest,
+        views: tuple[WorkerView, ...],
+        owners: Iterator[WorkerView],
+        found: list[Candidate],
+        now: float,
+    ) -> list[Candidate]:
+        """Return workers beside the first owners, at all of which it would wait."""
+        more: list[WorkerView] = []
+        if not any(has_room(request, c, now) for c in found):
+            more += islice(owners, OWNERS_WHEN_BUSY - OWNERS)
+        known = {candidate.view.entry.id for candidate in found}
+        known.update(view.entry.id for view in more)
+        local = self._owners.of_region(request.service, self._region, views)
+        for _ in range(SPILL_WORKERS if local else 0):
+            view = self._random.choice(local)
+            if view.entry.id not in known and self._filter.accepts(request, view, now):
+                known.add(view.entry.id)
+                more.append(view)
+        responsive = (view for view in more if now < view.unresponsive_from())
+        return [self._assess(request, view, None, now) for view in responsive]
+
+    def _assess(
+        self, request: WorkerRequest, view: WorkerView, place: int | None, now: float
+    ) -> Candidate:
+        is_local = view.region == self._region
+        return assess(request, view, place, is_local=is_local, now=now)
+
+    def _best(
+        self,
+        request: WorkerRequest,
+        first: Candidate,
+        fitting: list[Candidate],
+        now: float,
+    ) -> ChosenWorker:
+        """Choose among the workers that have room.
+
+        :param first: the first owner, whether or not it has room.
+        """
+        load = first.view.service_load.per_slot(now)
+        load = load / (1.0 - load) if load < BUSY_LOAD_PER_SLOT else inf
+        cold = first.view.work.service.costs.estimate(request.route.name, Warmth.UNSEEN)
+        # Also at a start, when the first owner has nothing warm either.
+        penalty_s = load * COLD_RUNS * COLD_EXTRA * cold.mean_s
+
+        def score(candidate: Candidate) -> float:
+            finish_s = candidate.run.finish_s + JITTER_S * self._random.random()
+            if candidate is first or not request.object_key:
+                return finish_s
+            finish_s += MARGIN * first.run.cost_s
+            if candidate.run.warmth is not Warmth.UNSEEN:
+                return finish_s
+            # A cold run takes the time of others, and so does the next run for the
+            # object that it displaces.
+            return finish_s + penalty_s
+
+        scored = sorted(((score(c), i) for i, c in enumerate(fitting)))
+        best = fitting[scored[0][1]]
+        home = first.view.region
+        at_home = [(s, i) for s, i in scored if fitting[i].view.region == home]
+        away = [(s, i) for s, i in scored if fitting[i].view.region != home]
+        if at_home and away:
+            advantage = (at_home[0][0] - away[0][0]) / first.run.cost_s
+            leaves = self._spill.leaves(request.service, advantage, now)
+            best = fitting[(away if leaves else at_home)[0][1]]
+        is_away = best.view.region != home
+        self._spill.record(request.service, away=is_away, now=now)
+        run = replace(best.run, overdue_s=overdue_s(request, best, now))
+        return ChosenWorker(best.view, best.per_slot, _reason(best), run)
+
+    def _refuse(
+        self, request: WorkerRequest, found: list[Candidate], now: float
+    ) -> NoCapacity:
+        reason = "every owner has a long queue"
+        if min(c.optimistic_s for c in found) > request.time_left_s:
+            reason = "no worker can finish the request in time"
+        excess_s = min(c.run.wait_s - longest_wait_s(request, c, now) for c in found)
+        # Callers that are refused together do not return together.
+        excess_s *= 1.0 + self._random.random() / 2
+        return NoCapacity(reason, max(MIN_RETRY_AFTER_S, excess_s))
+
+
+def _reason(candidate: Candidate) -> str:
+    place = candidate.place
+    kind = "another worker" if place is None else f"owner {place + 1}"
+    run = candidate.run
+    joined = ", joins a run" if run.joined else ""
+    return (
+        f"{kind}, {run.warmth.name.lower()}{joined}, "
+        f"wait {run.wait_s:.2f} s, cost {run.cost_s:.2f} s x {run.slowdown:.2f}"
+    )
--- a/testing/policies/test_load_patterns.py
+++ b/testing/policies/test_load_patterns.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 import pytest
+from testing.policies.load_pattern import Pattern
 from testing.policies.worker_model import Outcome
-from testing.policies.worker_model import Pattern
 from testing.policies.worker_model import Simulation
 
 SEEDS = (1, 2, 3)
