Use estimates of work for services whose workers state a slowdown

Change: [platform] worker_choice, "automatic" by default; the forwarder states the time left and whether another attempt is in flight. A worker that is overtaken so early does not count as failed. Measured: testing/gateway passes with a new test of the setting; testing/policies/ test_overdue.py and testing/platform/test_gateway.py pass; make lint types.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -36,6 +36,8 @@
 OVERDUE_CHECK_INTERVAL_S = 0.2
 # Added to the worker's deadline, so that an answer sent at the deadline arrives.
 DEADLINE_GRACE_S = 0.1
+# Answers from this status on do not show what a request costs.
+MIN_ERROR_STATUS = 400
 # Verdicts on answers to requests that the worker ran. What it writes in place of an
 # answer may leave its limit out.
 RAN_VERDICTS = frozenset({Verdict.ANSWER, Verdict.FAULT})
@@ -95,9 +97,9 @@
         """
         view = chosen.view
         started_at = self._node.clock()
-        view.record_start(started_at)
+        view.record_start(started_at, chosen.run)
         watch = _OverdueWatch(
-            self._node, self._workers, view, deadline - started_at, on_overdue
+            self._node, self._workers, chosen, deadline - started_at, on_overdue
         )
         if route.kind.repeatable:
             watch.start()
@@ -109,13 +111,15 @@
             raise
         finally:
             watch.stop()
-            view.record_end(started_at)
+            view.record_end(started_at, chosen.run)
         now = self._node.clock()
         reply = outcome.reply
         if reply is not None:
             self._record_reply(view, reply, call.id)
         if reply is not None and reply.verdict is Verdict.ANSWER:
             view.record_success(now - started_at)
+            if chosen.run is not None and reply.status < MIN_ERROR_STATUS:
+                view.work.record_answer(chosen.run, now - started_at, now)
             self._suspicion.record_answered(self._suspicion.signature_of(call))
             return outcome
         self._report_failure(call, chosen, outcome, now - started_at)
@@ -243,8 +247,10 @@
         waited_s = self._node.clock() - started_at
         outcome = AttemptOutcome(Ran.UNKNOWN, f"no answer within {waited_s:.1f} s")
         self._report_failure(call, chosen, outcome, waited_s)
-        # A worker that answered other requests meanwhile is only slow.
-        if view.last_answer_at < started_at:
+        # A worker that answered other requests meanwhile is only slow, and with
+        # estimates, an unusually long run is overtaken before silence means anything.
+        silent = chosen.run is None or waited_s >= view.silence_timeout_s()
+        if silent and view.last_answer_at < started_at:
             self._record_failure(view, outcome.detail, unreachable=False)
 
     def _report_failure(
@@ -285,13 +291,14 @@
         self,
         node: GatewayNode,
         workers: Workers,
-        view: WorkerView,
+        chosen: ChosenWorker,
         time_left_s: float,
         on_overdue: Callable[[], None],
     ) -> None:
         self._node = node
         self._workers = workers
-        self._view = view
+        self._view = chosen.view
+        self._run = chosen.run
         self._started_at = node.clock()
         self._time_left_s = time_left_s
         self._on_overdue = on_overdue
@@ -299,8 +306,13 @@
         self.overdue = False
 
     def start(self) -> None:
-        """Start to watch; no answer is overdue before ``MIN_WAIT_S``."""
-        self._timer = self._node.reactor.callLater(MIN_WAIT_S, self._check)
+        """Start to watch.
+
+        Without estimates, no answer is overdue before ``MIN_WAIT_S``.
+        """
+        run_s = MIN_WAIT_S if self._run is None else self._run.overdue_s
+        first_s = min(MIN_WAIT_S, run_s)
+        self._timer = self._node.reactor.callLater(first_s, self._check)
 
     def _check(self) -> None:
         now = self._node.clock()
@@ -309,6 +321,7 @@
             self._view.estimate,
             self._time_left_s,
             suspect=directory.is_suspect(self._view.entry.data_centre, now),
+            run=self._run,
         )
         if now - self._started_at >= wait_s:
             self.overdue = True
--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -93,7 +93,8 @@
         self._suspicion = node.require(CrashSuspicion)
         self._retry_budget = RetryBudget(self._retry_limits)
         directory = self._workers.directory
-        self._choice: WorkerChoice = worker_choices.get("affinity")(
+        build_choice = worker_choices.get(node.settings.worker_choice)
+        self._choice: WorkerChoice = build_choice(
             node.settings.placement.region,
             directory.limits,
             lambda worker: self._peers.failure_detector.owns(worker, node.clock()),
@@ -220,6 +221,8 @@
             progress.service,
             race.call.object_key,
             frozenset(progress.tried),
+            race.deadline - now,
+            race.running,
         )
         views = self._workers.directory.known(progress.service)
         choice = self._choice.choose(wanted, views, now)
--- a/packages/gateway/src/sycamorenotch_gateway/_settings.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_settings.py
@@ -63,11 +63,16 @@
 
 @section(GATEWAY_KINDS, "platform", named=False)
 class PlatformSection(SectionModel):
-    """``[platform]``: the store, its adapter and the HTTP dialect."""
+    """``[platform]``: the store, its adapter and the HTTP dialect.
+
+    :param worker_choice: registered choice of workers for the requests of all services;
+        ``automatic`` chooses by what the workers of each service state.
+    """
 
     feed: Name
     dialect: Name
     store: Address
+    worker_choice: Name = "automatic"
 
 
 @section(GATEWAY_KINDS, "machine", named=False, required=False)
@@ -150,6 +155,7 @@
     store: str
     resources: Resources
     machine: MachineSection = field(default_factory=MachineSection)
+    worker_choice: str = "automatic"
     bounds: BoundsSection = field(default_factory=BoundsSection)
     response_limits: ResponseLimits = field(default_factory=ResponseLimits)
 
@@ -175,6 +181,7 @@
         feed=platform.feed,
         dialect=platform.dialect,
         store=platform.store,
+        worker_choice=platform.worker_choice,
         resources=Resources(
             machine.processor_share * machine.processor_speed, machine.link_mbps
         ),
--- a/testing/gateway/test_settings.py
+++ b/testing/gateway/test_settings.py
@@ -85,6 +85,14 @@
     assert not settings.bounds.fail_closed
 
 
+# Without the option, nothing changes for services whose workers state no slowdown.
+def test_choice_of_workers_is_automatic_unless_set() -> None:
+    text = render()
+    assert parse_gateway_settings(text).worker_choice == "automatic"
+    text = text.replace("[platform]", "[platform]\nworker_choice = affinity")
+    assert parse_gateway_settings(text).worker_choice == "affinity"
+
+
 def test_template_gives_bounds_of_customers_where_a_deployment_has_them() -> None:
     bounds = parse_gateway_settings(render(**CUSTOMER_FIELDS)).bounds
     assert bounds.fail_closed
