Show how far answers are from their estimates

Cause: operators could not see whether the estimates of work are good. Change: event 6212 for each service once a minute, and a metric with the same counts. The number of owners of an object in demand rises faster, to 16 at the most.

--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -293,6 +293,29 @@
     load: str
 
 
+@event(6212, "work.estimated")
+@final
+@dataclass(frozen=True, slots=True)
+class WorkEstimated(Event):
+    """How long answers took relative to their estimates, since the last such line.
+
+    :param below_50: answers that took less than half of the expected time.
+    :param to_80: answers that took between 50 and 80% of it; the others likewise.
+    :param cost_s: mean cost of a request at the usual speed, in seconds.
+    :param slowdown: usual slowdown that the workers state.
+    """
+
+    service: str
+    below_50: int
+    to_80: int
+    to_125: int
+    to_200: int
+    to_400: int
+    above_400: int
+    cost_s: float
+    slowdown: float
+
+
 @event(6301, "store.lost", Severity.WARNING)
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_metrics.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_metrics.py
@@ -21,8 +21,10 @@
 from sycamorenotch_kernel import Refusal
 from sycamorenotch_kernel import WorkerReply
 from sycamorenotch_kernel import gateway_components
+from sycamorenotch_policies import ERROR_BOUNDS
 
 TEXT_FORMAT = "text/plain; version=0.0.4"
+ERROR_LABELS = (*map(str, ERROR_BOUNDS), "any")
 BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 2.5, 5.0, 10.0, float("inf"))
 
 
@@ -66,6 +68,11 @@
             "Time since the store, or a watcher of it, last answered for a topic.",
             **options,
         )
+        self._estimates = Gauge(
+            "sycamorenotch_gateway_estimated_answers",
+            "Answers by the ratio of the time that they took to the time expected.",
+            **options,
+        )
         node.provide(GatewayMetrics, self)
 
     def start(self) -> None:
@@ -97,5 +104,8 @@
         self._usage.set({"of": "link_mbps"}, round(used_resources.link_mbps, 3))
         for topic, age_s in self._sources.ages_s().items():
             self._ages.set({"topic": topic.value}, round(age_s, 3))
+        for service, work in self._workers.directory.service_work.items():
+            for bound, count in zip(ERROR_LABELS, work.errors, strict=True):
+                self._estimates.set({"service": service, "up_to": bound}, count)
         body, _ = render(self._registry, [TEXT_FORMAT])
         return body, TEXT_FORMAT
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -23,6 +23,7 @@
 from sycamorenotch_gateway._relay import Relay
 from sycamorenotch_gateway._routes import Routes
 from sycamorenotch_gateway._suspicion import CrashSuspicion
+from sycamorenotch_gateway._work_log import WorkLog
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import ForwardingConfiguration
 from sycamorenotch_kernel import Item
@@ -68,6 +69,7 @@
             lambda: self.peer_demands(),
         )
         self._paused: dict[str, WorkerView] = {}
+        self._work_log = WorkLog(self.directory, node.sink)
         self._pools: dict[str, Http1Pool] = {}
         self._idle_timeouts: dict[str, AdaptiveIdleTimeout] = {}
         self._follower = Follower(node, Topic.WORKERS, self._apply_batch)
@@ -271,9 +273,11 @@
             pool.close()
 
     async def _turn(self) -> timedelta:
-        self._evacuations.expire(self._node.clock())
-        self._report_resumed(self._node.clock())
-        for name in self.directory.expire(self._node.clock()):
+        now = self._node.clock()
+        self._evacuations.expire(now)
+        self._report_resumed(now)
+        self._work_log.turn(now)
+        for name in self.directory.expire(now):
             self._close_pool(name)
             reason = "its entry did not come back after an outage of the store"
             self._node.sink.emit(WorkerRemoved(name, reason, 0))
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -137,9 +137,11 @@
 from sycamorenotch_policies._worker_table import ChoiceSetup
 from sycamorenotch_policies._worker_table import WorkerTable
 from sycamorenotch_policies._worker_view import WorkerView
+from sycamorenotch_policies.work._service_work import ERROR_BOUNDS
 
 __all__ = [
     "BODY_LIMIT_BYTES",
+    "ERROR_BOUNDS",
     "GONE_GRACE_PERIOD",
     "LAPSE_MARGIN",
     "LOAN_LIFETIME",
--- a/packages/policies/src/sycamorenotch_policies/work/_candidates.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_candidates.py
@@ -35,8 +35,7 @@
 
     :param requests: estimated requests there, running and waiting.
     :param optimistic_s: earliest possible finish.
-    :param score: likely finish with the cost that it puts on other requests.
-    :param place: place among the owners; none for other workers.
+    :param place: place among the owners that share the object; none for others.
     """
 
     view: WorkerView
--- a/packages/policies/src/sycamorenotch_policies/work/_object_copies.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_object_copies.py
@@ -10,12 +10,12 @@
 from dataclasses import dataclass
 from typing import final
 
-MAX_COPIES = 8
+MAX_COPIES = 16
 # Owners that have this many requests for each slot are too few.
-BUSY_PER_SLOT = 1.25
+BUSY_PER_SLOT = 1.0
 # A further owner has to show its effect first.
-MIN_GROWTH_INTERVAL_S = 0.4
-COPY_LIFETIME_S = 5.0
+MIN_GROWTH_INTERVAL_S = 0.25
+COPY_LIFETIME_S = 10.0
 MAX_OBJECTS = 1_024
 
 
