Keep requests without an object near, and spread objects in demand gradually

Cause: requests without an object were sent to any region although theirs had capacity; an object in demand could move most of its requests to another region within a second; a worker that stood in for the first owner counted as one that has the object warm. Change: requests without an object prefer workers of the own region; the owners that share an object are drawn from one region, and the share that leaves it is limited; only the true first owner, or one that shares the object, counts as an owner.

--- a/packages/policies/src/sycamorenotch_policies/_worker_choice.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_choice.py
@@ -88,8 +88,7 @@
 
         Unresponsive workers are owners only if every other worker is excluded.
         """
-        key = request.object_key if request.route.sticky else ""
-        ordered = self._owners.ordered(request.service, key, views)
+        ordered = self._owners.ordered(request.service, request.sticky_key, views)
         accepted = (v for v in ordered if self._filter.accepts(request, v, now))
         silent: list[WorkerView] = []
         responsive = drop_unresponsive(accepted, silent, now)
--- a/packages/policies/src/sycamorenotch_policies/_worker_request.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_request.py
@@ -37,6 +37,11 @@
     time_left_s: float = inf
     beside: bool = False
 
+    @property
+    def sticky_key(self) -> str:
+        """Key of the object if its requests prefer the same worker, else empty."""
+        return self.object_key if self.route.sticky else ""
+
 
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/policies/src/sycamorenotch_policies/work/_candidates.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_candidates.py
@@ -55,16 +55,22 @@
     view: WorkerView,
     place: int | None,
     *,
+    is_owner: bool,
     is_local: bool,
     now: float,
 ) -> Candidate:
-    """Estimate when a worker would finish the request."""
-    route, key = request.route.name, request.object_key
+    """Estimate when a worker would finish the request.
+
+    :param place: see :class:`Candidate`.
+    :param is_owner: whether other instances send it the requests for the object too.
+    :param is_local: whether it is in the region of this instance.
+    """
+    route, key = request.route.name, request.sticky_key
     work = view.work
     costs = work.service.costs
     if key and work.has_seen(route, key, now):
         warmth = Warmth.SEEN
-    elif key and place is not None and now >= view.cold_until:
+    elif is_owner and now >= view.cold_until:
         warmth = Warmth.OWNED
     else:
         warmth = Warmth.UNSEEN
--- a/packages/policies/src/sycamorenotch_policies/work/_earliest_finish.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_earliest_finish.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 from dataclasses import replace
 from itertools import islice
@@ -95,46 +96,79 @@
         """
         silent: list[WorkerView] = []
         owners = self._accepted_owners(request, views, silent, now)
-        key = request.object_key if request.route.sticky else ""
-        copies = self._copies.count(request.service, key, now) if key else OWNERS
-        first = list(islice(owners, max(copies, OWNERS))) or silent[:OWNERS]
+        if request.sticky_key:
+            copies = self._copies.count(request.service, request.sticky_key, now)
+            first = list(islice(owners, max(copies, OWNERS))) or silent[:OWNERS]
+        else:
+            copies = OWNERS
+            first = self._local(request, views, now)
+            first += _without(islice(owners, OWNERS), first)
+            first = first or silent[:OWNERS]
         if not first:
             return self._filter.refusal(request, views, now)
-        found = self._assess_owners(request, first, copies, now)
+        found = self._assess_first(request, views, first, copies, now)
         busy = first[0].service_load.per_slot(now) >= BUSY_LOAD_PER_SLOT
-        if not (busy and key) and all(c.run.wait_s > 0 for c in found):
+        if not (busy and request.sticky_key) and all(c.run.wait_s > 0 for c in found):
             found += self._further(request, views, owners, found, now)
         fitting = [c for c in found if has_room(request, c, now)]
         if fitting:
-            return self._best(request, found[0], fitting, now)
+            return self._best(request, first[0].region, found[0], fitting, now)
         return self._refuse(request, found, now)
 
-    def _assess_owners(
+    def _assess_first(
         self,
         request: WorkerRequest,
-        owners: list[WorkerView],
+        views: tuple[WorkerView, ...],
+        first: list[WorkerView],
         copies: int,
         now: float,
     ) -> list[Candidate]:
-        """Estimate the finish at the owners, the one that is preferred first.
+        """Estimate the finish at the first workers, the one that is preferred first.
 
+        :param first: owners of the object, or random workers without one.
         :param copies: number of owners that share the requests for the object.
         """
-        key = request.object_key
-        busy = owners[0].service_load.per_slot(now) >= BUSY_LOAD_PER_SLOT
-        shared = [(v, i) for i, v in enumerate(owners[:copies])]
-        if copies > OWNERS:
-            shared = self._random.sample(shared, OWNERS)
-        elif copies > 1:
-            self._random.shuffle(shared)
-        found = [self._assess(request, view, i, now) for view, i in shared]
-        if key and not busy and found[0].per_slot >= BUSY_PER_SLOT:
+        key = request.sticky_key
+        if not key:
+            return [self._assess(request, view, None, now) for view in first]
+        # A worker that only stands in for the first owner has seen few of its objects.
+        ordered = self._owners.ordered(request.service, key, views)
+        primary = next(ordered) if copies == 1 else None
+        found = [
+            self._assess(request, v, i, now, is_owner=v is primary or copies > 1)
+            for v, i in self._sharing(request.service, first[:copies], now)
+        ]
+        busy = first[0].service_load.per_slot(now) >= BUSY_LOAD_PER_SLOT
+        if not busy and found[0].per_slot >= BUSY_PER_SLOT:
             self._copies.record_busy(request.service, key, now)
-        for i in range(copies, len(owners)):
-            candidate = self._assess(request, owners[i], None, now)
-            if not busy or candidate.run.warmth is Warmth.SEEN:
-                found.append(candidate)
-        return found
+        others = [self._assess(request, v, None, now) for v in first[copies:]]
+        return found + [c for c in others if not busy or c.run.warmth is Warmth.SEEN]
+
+    def _sharing(
+        self, service: str, owners: list[WorkerView], now: float
+    ) -> list[tuple[WorkerView, int]]:
+        """Draw owners that share an object, all from one region, and their places."""
+        if len(owners) == 1:
+            return [(owners[0], 0)]
+        placed = [(view, place) for place, view in enumerate(owners)]
+        home = [item for item in placed if item[0].region == owners[0].region]
+        away = [item for item in placed if item[0].region != owners[0].region]
+        if away and self._spill.leaves(service, len(away) / len(placed), now):
+            home = away
+        return self._random.sample(home, min(OWNERS, len(home)))
+
+    def _local(
+        self, request: WorkerRequest, views: tuple[WorkerView, ...], now: float
+    ) -> list[WorkerView]:
+        """Draw workers of the own region that may get the request."""
+        local = self._owners.of_region(request.service, self._region, views)
+        drawn = self._random.sample(local, min(SPILL_WORKERS, len(local)))
+        return [
+            view
+            for view in drawn
+            if self._filter.accepts(request, view, now)
+            and now < view.unresponsive_from()
+        ]
 
     def _accepted_owners(
         self,
@@ -147,8 +181,7 @@
 
         :param silent: gets those that are unresponsive.
         """
-        key = request.object_key if request.route.sticky else ""
-        ordered = self._owners.ordered(request.service, key, views)
+        ordered = self._owners.ordered(request.service, request.sticky_key, views)
         if request.route.kind is RequestKind.DOWNLOAD:
             # Sending a large answer between regions costs more than a second owner.
             ordered = iter(sorted(ordered, key=lambda v: v.region != self._region))
@@ -167,33 +200,37 @@
         more: list[WorkerView] = []
         if not any(has_room(request, c, now) for c in found):
             more += islice(owners, OWNERS_WHEN_BUSY - OWNERS)
-        known = {candidate.view.entry.id for candidate in found}
-        known.update(view.entry.id for view in more)
-        local = self._owners.of_region(request.service, self._region, views)
-        for _ in range(SPILL_WORKERS if local else 0):
-            view = self._random.choice(local)
-            if view.entry.id not in known and self._filter.accepts(request, view, now):
-                known.add(view.entry.id)
-                more.append(view)
-        responsive = (view for view in more if now < view.unresponsive_from())
-        return [self._assess(request, view, None, now) for view in responsive]
+        more = [view for view in more if now < view.unresponsive_from()]
+        known = [candidate.view for candidate in found] + more
+        more += _without(self._local(request, views, now), known)
+        return [self._assess(request, view, None, now) for view in more]
 
     def _assess(
-        self, request: WorkerRequest, view: WorkerView, place: int | None, now: float
+        self,
+        request: WorkerRequest,
+        view: WorkerView,
+        place: int | None,
+        now: float,
+        *,
+        is_owner: bool = False,
     ) -> Candidate:
         is_local = view.region == self._region
-        return assess(request, view, place, is_local=is_local, now=now)
+        return assess(
+            request, view, place, is_owner=is_owner, is_local=is_local, now=now
+        )
 
     def _best(
         self,
         request: WorkerRequest,
+        home: str,
         first: Candidate,
         fitting: list[Candidate],
         now: float,
     ) -> ChosenWorker:
         """Choose among the workers that have room.
 
-        :param first: the first owner, whether or not it has room.
+        :param home: region of the first owner, or of this instance.
+        :param first: the preferred worker, whether or not it has room.
         """
         load = first.view.service_load.per_slot(now)
         load = load / (1.0 - load) if load < BUSY_LOAD_PER_SLOT else inf
@@ -203,7 +240,7 @@
 
         def score(candidate: Candidate) -> float:
             finish_s = candidate.run.finish_s + JITTER_S * self._random.random()
-            if candidate is first or not request.object_key:
+            if candidate is first or not request.sticky_key:
                 return finish_s
             finish_s += MARGIN * first.run.cost_s
             if candidate.run.warmth is not Warmth.UNSEEN:
@@ -214,9 +251,9 @@
 
         scored = sorted(((score(c), i) for i, c in enumerate(fitting)))
         best = fitting[scored[0][1]]
-        home = first.view.region
-        at_home = [(s, i) for s, i in scored if fitting[i].view.region == home]
-        away = [(s, i) for s, i in scored if fitting[i].view.region != home]
+        near = first.view.region
+        at_home = [(s, i) for s, i in scored if fitting[i].view.region == near]
+        away = [(s, i) for s, i in scored if fitting[i].view.region != near]
         if at_home and away:
             advantage = (at_home[0][0] - away[0][0]) / first.run.cost_s
             leaves = self._spill.leaves(request.service, advantage, now)
@@ -238,6 +275,10 @@
         return NoCapacity(reason, max(MIN_RETRY_AFTER_S, excess_s))
 
 
+def _without(views: Iterable[WorkerView], known: list[WorkerView]) -> list[WorkerView]:
+    return [view for view in views if not any(view is other for other in known)]
+
+
 def _reason(candidate: Candidate) -> str:
     place = candidate.place
     kind = "another worker" if place is None else f"owner {place + 1}"
--- a/packages/policies/src/sycamorenotch_policies/work/_region_spill.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_region_spill.py
@@ -13,7 +13,7 @@
 INTERVAL_S = 2.0
 # Largest change of the share between two intervals; 0.15 may change, and part of that
 # comes from workers that pause or fail.
-MAX_CHANGE = 0.08
+MAX_CHANGE = 0.1
 # An instance with few requests may still send one elsewhere in each interval.
 MIN_REQUESTS = 1.0 / MAX_CHANGE
 
@@ -24,7 +24,7 @@
     begun_at: float
     requests: int = 0
     away: int = 0
-    last_share: float = 0.0
+    last_share: float | None = None
     last_requests: int = 0
 
 
@@ -56,9 +56,12 @@
         :param now: monotonic time in seconds.
         """
         interval = self._current(service, now)
+        wanted = self._random.random() < advantage
+        if interval.last_share is None:
+            return wanted
         requests = max(interval.requests + 1, interval.last_requests, MIN_REQUESTS)
         most = interval.last_share + MAX_CHANGE
-        if self._random.random() < advantage:
+        if wanted:
             return interval.away + 1 <= most * requests
         least = interval.last_share - MAX_CHANGE
         return interval.away < least * (interval.requests + 1)
@@ -68,7 +71,7 @@
         elapsed_s = now - interval.begun_at
         if elapsed_s < INTERVAL_S:
             return interval
-        share, requests = 0.0, 0
+        share, requests = None, 0
         if elapsed_s < 2 * INTERVAL_S and interval.requests:
             requests = interval.requests
             share = interval.away / requests
--- a/testing/policies/load_pattern.py
+++ b/testing/policies/load_pattern.py
@@ -57,7 +57,8 @@
     :param mixes: the routes; without any, one as the other parameters say.
     :param tail_share: fraction of the runs that take ``tail_factor`` times the work.
     :param slow_share: fraction of the time in which work takes ``slow_factor`` times as
-        long at a worker, which changes several times a second.
+        long at a worker.
+    :param slow_span_s: time for which a worker keeps its speed.
     :param stated: whether workers state the slowdown.
     :param regions: shares of the workers and of the callers of each region.
     :param patience_s: time that a caller has for all its tries; it waits as it is
@@ -88,6 +89,7 @@
     tail_factor: float = 7.0
     slow_share: float = 0.0
     slow_factor: float = 2.5
+    slow_span_s: float = 0.3
     stated: bool = False
     regions: tuple[tuple[float, float], ...] = ((1.0, 1.0),)
 
