Test the choice by estimates of work, and mend what the tests found

Cause: an answer that came sooner than the assumed way made a cost zero, and the next request failed with a division by zero; a random part of 10 ms outweighed the margin of the first owner where requests cost milliseconds; requests for an object could wait longer at a worker that does not own it than at its owners. Change: costs have a lower bound; the random part follows the cost; the margin has a lower bound; longer waits are allowed at owners only.

--- a/packages/policies/src/sycamorenotch_policies/work/_candidates.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_candidates.py
@@ -110,7 +110,10 @@
     run = candidate.run
     service = candidate.view.work.service
     in_time_s = request.route.target_latency_s - (run.finish_s - run.wait_s)
-    longest_s = max(in_time_s, MIN_WAIT_COSTS * run.cost_s)
+    longest_s = in_time_s
+    # Elsewhere it would not only be late but take the place of another object.
+    if candidate.place is not None or not request.sticky_key:
+        longest_s = max(in_time_s, MIN_WAIT_COSTS * run.cost_s)
     return longest_s * service.queue_share(request.route.priority, now)
 
 
--- a/packages/policies/src/sycamorenotch_policies/work/_costs.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_costs.py
@@ -12,6 +12,9 @@
 from enum import unique
 from typing import final
 
+# An answer may come sooner than the assumed way takes. No cost is zero, as others are
+# compared with it.
+MIN_COST_S = 0.001
 # Applies until the service has answered a request.
 DEFAULT_COST_S = 0.5
 # A sample weighs at least this much, so that the mean follows a change within some
@@ -121,6 +124,7 @@
         :param weight: confidence in the sample, from 0 to 1.
         :param now: monotonic time in seconds.
         """
+        cost_s = max(MIN_COST_S, cost_s)
         known = self._routes.setdefault(route, {})
         self._routes.move_to_end(route)
         if len(self._routes) > MAX_ROUTES:
--- a/packages/policies/src/sycamorenotch_policies/work/_earliest_finish.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_earliest_finish.py
@@ -45,14 +45,16 @@
 # The first owner keeps an object unless another worker finishes earlier by this part
 # of its cost.
 MARGIN = 0.25
+# Differences below this are noise of the network and of the event loop.
+MIN_MARGIN_S = 0.005
 # Cold runs that a further copy of an object causes: its own, and one for the object
 # that the worker forgets in its place.
 COLD_RUNS = 2.0
 # Part of the cost for a cold object that a warm one saves.
 COLD_EXTRA = 0.6
-# Random part of a finish, in seconds, so that instances which know the same do not all
-# choose the same worker.
-JITTER_S = 0.01
+# Random part of a finish, as part of the cost, so that instances which know the same do
+# not all choose the same worker.
+JITTER = 0.1
 
 
 @worker_choices.register("earliest-finish")
@@ -147,7 +149,10 @@
     def _sharing(
         self, service: str, owners: list[WorkerView], now: float
     ) -> list[tuple[WorkerView, int]]:
-        """Draw owners that share an object, all from one region, and their places."""
+        """Draw two of the owners that share an object, with their places.
+
+        The first one is preferred; its region changes gradually.
+        """
         if len(owners) == 1:
             return [(owners[0], 0)]
         placed = [(view, place) for place, view in enumerate(owners)]
@@ -155,7 +160,9 @@
         away = [item for item in placed if item[0].region != owners[0].region]
         if away and self._spill.leaves(service, len(away) / len(placed), now):
             home = away
-        return self._random.sample(home, min(OWNERS, len(home)))
+        preferred = self._random.choice(home)
+        others = [item for item in placed if item is not preferred]
+        return [preferred, self._random.choice(others)]
 
     def _local(
         self, request: WorkerRequest, views: tuple[WorkerView, ...], now: float
@@ -239,10 +246,11 @@
         penalty_s = load * COLD_RUNS * COLD_EXTRA * cold.mean_s
 
         def score(candidate: Candidate) -> float:
-            finish_s = candidate.run.finish_s + JITTER_S * self._random.random()
+            finish_s = candidate.run.finish_s
+            finish_s += JITTER * first.run.cost_s * self._random.random()
             if candidate is first or not request.sticky_key:
                 return finish_s
-            finish_s += MARGIN * first.run.cost_s
+            finish_s += max(MIN_MARGIN_S, MARGIN * first.run.cost_s)
             if candidate.run.warmth is not Warmth.UNSEEN:
                 return finish_s
             # A cold run takes the time of others, and so does the next run for the
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -182,6 +182,7 @@
         ``silent``: run it and never answer; ``slow``: answer after ``delay_s``
         seconds; ``stranger``: answer 421, as another worker at this address does.
     :param rate_limit: limit that its answers name, in requests per second.
+    :param slowdown: fourth figure of its load reports; they have three without it.
     :param leaving: whether its answers say that it is about to stop.
     :param retry_after: pause that it asks for when it sheds a request, in seconds.
     """
@@ -195,6 +196,7 @@
     state: str = "ready"
     delay_s: float = 0.0
     rate_limit: str = ""
+    slowdown: str = ""
     leaving: bool = False
     retry_after: str = ""
     ran: list[str] = field(default_factory=list)
@@ -249,7 +251,8 @@
                 connection.transport.abortConnection()
         status = 500 if self.mode == "fail" else 200
         signed = ("X-Response-Signature", f"{self.name}.1")
-        load = ("X-Server-Load", f"1,0,{self.slots}")
+        figures = f"1,0,{self.slots}" + (f",{self.slowdown}" if self.slowdown else "")
+        load = ("X-Server-Load", figures)
         headers = (echo, signed, load, *leaving)
         if self.rate_limit:
             headers += (("Server-Limit", self.rate_limit),)
