--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -36,6 +36,9 @@
 OVERDUE_CHECK_INTERVAL_S = 0.2
 # Added to the worker's deadline, so that an answer sent at the deadline arrives.
 DEADLINE_GRACE_S = 0.1
+# Three runs in a hundred take seven times as long as expected, so silence up to this
+# multiple does not mean that a worker has failed.
+LONGEST_RUN = 8.0
 # Answers from this status on do not show what a request costs.
 MIN_ERROR_STATUS = 400
 # Verdicts on answers to requests that the worker ran. What it writes in place of an
@@ -247,10 +250,12 @@
         waited_s = self._node.clock() - started_at
         outcome = AttemptOutcome(Ran.UNKNOWN, f"no answer within {waited_s:.1f} s")
         self._report_failure(call, chosen, outcome, waited_s)
-        # A worker that answered other requests meanwhile is only slow, and with
-        # estimates, an unusually long run is overtaken before silence means anything.
-        silent = chosen.run is None or waited_s >= view.silence_timeout_s()
-        if silent and view.last_answer_at < started_at:
+        # A worker that answered other requests meanwhile is only slow, and so may be
+        # one with an unusually long run.
+        is_long = chosen.run is not None and waited_s < max(
+            view.silence_timeout_s(), LONGEST_RUN * chosen.run.finish_s
+        )
+        if not is_long and view.last_answer_at < started_at:
             self._record_failure(view, outcome.detail, unreachable=False)
 
     def _report_failure(
