Do not refuse requests for old estimates, nor late ones while a worker is idle

Cause: a route whose estimates were once high could be refused for good, because refused requests teach nothing. A request that would be late in any case was refused if its owners were full, although another worker was idle.

--- a/packages/policies/src/sycamorenotch_policies/work/_candidates.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_candidates.py
@@ -20,7 +20,7 @@
 REMOTE_ROUND_TRIP_S = 0.07
 # A worker sheds once three requests wait for each slot. Its load is known late, so
 # less is expected to wait there.
-MAX_WAITING_PER_SLOT = 0.7
+MAX_WAITING_PER_SLOT = 0.5
 # A request that is late in any case may wait for this multiple of its cost.
 MIN_WAIT_COSTS = 2.0
 # A service with this many requests for each slot has no time for more cold runs, so
@@ -97,7 +97,7 @@
         inf,
         running_s is not None,
     )
-    optimistic_s = round_trip_s + 0.5 * wait_s + cost.optimistic_s
+    optimistic_s = round_trip_s + 0.5 * wait_s + cost.optimistic_s(now)
     return Candidate(view, run, requests, optimistic_s, place)
 
 
@@ -110,7 +110,7 @@
     run = candidate.run
     service = candidate.view.work.service
     in_time_s = request.route.target_latency_s - (run.finish_s - run.wait_s)
-    longest_s = in_time_s
+    longest_s = max(0.0, in_time_s)
     # Elsewhere it would not only be late but take the place of another object.
     if candidate.place is not None or not request.sticky_key:
         longest_s = max(in_time_s, MIN_WAIT_COSTS * run.cost_s)
--- a/packages/policies/src/sycamorenotch_policies/work/_costs.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_costs.py
@@ -22,6 +22,9 @@
 MIN_SAMPLE_WEIGHT = 1 / 50
 # The number of samples that a mean stands for halves in this time without new ones.
 HALF_LIFE_S = 30.0
+MAX_AGE_S = 3600.0
+# An estimate without a new answer for longer is no ground for a refusal.
+CERTAIN_S = 10.0
 # Three requests in a hundred take seven times the mean. Beyond this multiple a sample
 # would raise the mean for tens of ordinary requests.
 MAX_SAMPLE_MEANS = 3.0
@@ -57,16 +60,21 @@
     mean_s: float = 0.0
     deviation_s: float = 0.0
     samples: float = 0.0
-    updated_at: float = 0.0
+    updated_at: float = -1e9
 
     @property
     def tail_s(self) -> float:
         """Cost that few ordinary requests exceed, in seconds."""
         return self.mean_s + TAIL_DEVIATIONS * self.deviation_s
 
-    @property
-    def optimistic_s(self) -> float:
-        """Cost that few requests fall short of, in seconds."""
+    def optimistic_s(self, now: float) -> float:
+        """Return a cost that few requests fall short of, in seconds.
+
+        Nothing is certain without recent answers, which a service that refuses all
+        requests would never get.
+        """
+        if now - self.updated_at > CERTAIN_S:
+            return 0.0
         return max(0.3 * self.mean_s, self.mean_s - 2.0 * self.deviation_s)
 
     def scaled(self, ratio: float) -> CostEstimate:
@@ -79,7 +87,8 @@
         :param weight: confidence in the sample, from 0 to 1.
         :param now: monotonic time in seconds.
         """
-        self.samples *= 0.5 ** ((now - self.updated_at) / HALF_LIFE_S)
+        age_s = min(MAX_AGE_S, now - self.updated_at)
+        self.samples *= 0.5 ** (age_s / HALF_LIFE_S)
         self.updated_at = now
         if self.samples > MIN_SAMPLES_TO_CUT:
             cost_s = min(cost_s, MAX_SAMPLE_MEANS * self.mean_s)
