Find requests that crash their workers without other traffic

Cause: a lost request counted as a crash only if another request was refused a connection to the same worker within 5 s, or the same worker had a new start. In a quiet hour nobody connects, and workers come back with a new identifier. A connection that timed out counted like one that was refused, and any answer at the address, also of another worker, cleared the worker. Change: policies/_crash_evidence.py decides. The worker is probed once by a connection; a refusal, a new start, another worker at its address or the removal of its entry is a crash. Cut links, leaving workers and several workers lost together are excused.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -113,7 +113,7 @@
         now = self._node.clock()
         reply = outcome.reply
         if reply is not None:
-            self._record_reply(view, reply, call.id)
+            self._record_reply(view, reply, call.id, started_at)
         if reply is not None and reply.verdict is Verdict.ANSWER:
             view.record_success(now - started_at)
             self._suspicion.record_answered(self._suspicion.signature_of(call))
@@ -121,10 +121,13 @@
         self._report_failure(call, chosen, outcome, now - started_at)
         return outcome
 
-    def _record_reply(self, view: WorkerView, reply: WorkerReply, request: str) -> None:
+    def _record_reply(
+        self, view: WorkerView, reply: WorkerReply, request: str, started_at: float
+    ) -> None:
         """Record what an answer says of its worker, whatever became of the request.
 
         :param request: identifier of the request.
+        :param started_at: when the request was sent.
         """
         now = self._node.clock()
         if reply.load is not None:
@@ -136,7 +139,8 @@
         if reply.verdict in OWN_VERDICTS and reply.pause_s:
             self._workers.record_pause(view, reply.pause_s, request)
         view.last_answer_at = now
-        self._suspicion.record_alive(view.entry.id)
+        if reply.verdict in OWN_VERDICTS:
+            self._suspicion.record_alive(view.entry.id, started_at)
 
     async def _exchange(
         self, call: ForwardCall, view: WorkerView, deadline: float
@@ -205,11 +209,11 @@
         self, call: ForwardCall, view: WorkerView, error: ExchangeError
     ) -> AttemptOutcome:
         unreachable = not error.connected
-        if unreachable:
-            self._suspicion.record_crash(view.entry.id)
-        elif error.sent and not error.response_started:
+        if error.refused:
+            self._suspicion.record_refused(view.entry.id)
+        elif error.sent and not error.response_started and not view.leaving:
             signature = self._suspicion.signature_of(call)
-            self._suspicion.record_lost_request(signature, call.id, view.entry.id)
+            self._suspicion.record_lost_request(signature, call.id, view.entry)
         # A reused idle connection that breaks says nothing about its worker.
         if unreachable or error.response_started or error.idle_s is None:
             self._record_failure(view, str(error), unreachable=unreachable)
--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -393,6 +393,17 @@
     live: int
 
 
+@event(6230, "worker.probed")
+@final
+@dataclass(frozen=True, slots=True)
+class WorkerProbed(Event):
+    """A connection was opened to a worker that lost requests, to see if it lives."""
+
+    worker: str
+    service: str
+    result: str
+
+
 @event(6402, "peer.lost", Severity.WARNING)
 @final
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/sycamorenotch_gateway/_suspicion.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_suspicion.py
@@ -2,58 +2,61 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from datetime import timedelta
+from typing import Any
 from typing import ClassVar
 from typing import final
 
 from sycamorenotch_gateway._events import RequestQuarantined
+from sycamorenotch_gateway._events import WorkerProbed
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_kernel import ErrorKind
 from sycamorenotch_kernel import ForwardCall
 from sycamorenotch_kernel import Ran
 from sycamorenotch_kernel import Refusal
+from sycamorenotch_kernel import WorkerEntry
 from sycamorenotch_kernel import gateway_components
+from sycamorenotch_policies import CrashEvidence
+from sycamorenotch_policies import LostRequest
+from sycamorenotch_policies import ProbeResult
 from sycamorenotch_policies import Quarantine
 from sycamorenotch_policies import Signature
 from sycamorenotch_policies import Strike
 from sycamorenotch_policies import sign_request
-
-# A crash shows as refused connections or a restart within this time of the loss.
-CRASH_CONFIRMATION_S = 5.0
-# Bound on lost requests that wait for a crash to show; the oldest are discarded.
-MAX_PENDING_LOSSES = 256
+from sycamorenotch_transport import probe_address
+
+# A suspected worker is probed so long after the loss: the requests that others lost at
+# the same time are known by then, and a crashed worker is not back yet.
+PROBE_DELAY_S = 0.3
+PROBE_TIMEOUT_S = 0.5
+# Bound on probes under way; other suspicions wait for what the store shows.
+MAX_PROBES = 8
+PROBE_RESULTS = {
+    True: ProbeResult.CONNECTED,
+    False: ProbeResult.REFUSED,
+    None: ProbeResult.SILENT,
+}
 # Each strike is sent in several heartbeats, so one lost datagram loses no strike.
 MAX_STRIKES_PER_HEARTBEAT = 12
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class _LostRequest:
-    """A request whose worker closed the connection without an answer.
-
-    :param lost_at: time on the monotonic clock, in seconds.
-    """
-
-    signature: Signature
-    request: str
-    lost_at: float
-
-
 @gateway_components.register("suspicion")
 @final
 class CrashSuspicion:
     """Correlates lost requests with crashes of their workers.
 
     A lost answer alone is not a crash. A strike is counted only if the worker is
-    then found to be down or restarted.
+    then found to be down, restarted or removed. To find out, it is probed once, since
+    there may be no other traffic to it.
     """
 
     after: ClassVar[tuple[str, ...]] = ()
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
-        self._lost_requests: dict[str, list[_LostRequest]] = {}
+        self._evidence = CrashEvidence()
+        # Timers of the probes that wait, by worker; they stay while the probe runs.
+        self._probes: dict[str, Any] = {}
         # A restarted instance numbers its strikes from 1 again, so its start time is
         # part of their origin.
         self._origin = f"{node.settings.instance}/{node.started}"
@@ -64,7 +67,10 @@
         """Do nothing; attempts and peers report to this component."""
 
     async def stop(self) -> None:
-        """Do nothing."""
+        """Cancel the probes that wait."""
+        for timer in self._probes.values():
+            if timer.active():
+                timer.cancel()
 
     def signature_of(self, call: ForwardCall) -> Signature:
         """Return a digest that is equal for equal requests."""
@@ -84,36 +90,76 @@
         self._quarantine.record_answer(signature)
 
     def record_lost_request(
-        self, signature: Signature, request: str, worker: str
+        self, signature: Signature, request: str, worker: WorkerEntry
     ) -> None:
         """Record a request whose worker closed the connection without an answer."""
-        if sum(map(len, self._lost_requests.values())) >= MAX_PENDING_LOSSES:
-            self._lost_requests.pop(next(iter(self._lost_requests)))
-        lost_request = _LostRequest(signature, request, self._node.clock())
-        self._lost_requests.setdefault(worker, []).append(lost_request)
+        lost = LostRequest(signature, request, self._node.clock())
+        wanted = self._evidence.record_loss(
+            worker.id, worker.address, worker.data_centre, lost
+        )
+        waits = worker.id in self._probes
+        if wanted and not waits and len(self._probes) < MAX_PROBES:
+            self._evidence.start_probe(worker.id)
+            self._probes[worker.id] = self._node.reactor.callLater(
+                PROBE_DELAY_S, self._probe, worker
+            )
 
-    def record_crash(self, worker: str) -> None:
-        """Count a strike for each request lost by the worker within the window.
+    def _probe(self, worker: WorkerEntry) -> None:
+        if not self._evidence.is_suspect(worker.id):
+            # It has answered in the meantime, or is known to be down.
+            self._probes.pop(worker.id, None)
+            return
+        probing = probe_address(self._node.reactor, worker.address, PROBE_TIMEOUT_S)
 
-        The window is ``CRASH_CONFIRMATION_S``.
-        """
+        def record(accepted: bool | None) -> None:
+            self._probes.pop(worker.id, None)
+            result = PROBE_RESULTS[accepted]
+            self._node.sink.emit(WorkerProbed(worker.id, worker.service, result.value))
+            now = self._node.clock()
+            self._strike(worker.id, self._evidence.record_probe(worker.id, result, now))
+
+        probing.addCallback(record)
+
+    def record_refused(self, worker: str) -> None:
+        """Count strikes if a worker refuses connections after it lost requests."""
+        now = self._node.clock()
+        self._strike(worker, self._evidence.record_refused(worker, now))
+
+    def record_restarted(self, worker: str) -> None:
+        """Count strikes if a worker starts again, or is gone from its address."""
         now = self._node.clock()
-        for lost_request in self._lost_requests.pop(worker, []):
-            if now - lost_request.lost_at > CRASH_CONFIRMATION_S:
-                continue
+        self._strike(worker, self._evidence.record_restarted(worker, now))
+
+    def record_removed(self, worker: str) -> None:
+        """Count strikes if the entry of a worker is removed that was not leaving."""
+        now = self._node.clock()
+        self._strike(worker, self._evidence.record_removed(worker, now))
+
+    def record_replaced(self, entry: WorkerEntry) -> None:
+        """Count strikes if a worker has the address of another that lost requests."""
+        lost = self._evidence.record_replaced(
+            entry.address, entry.id, self._node.clock()
+        )
+        self._strike(entry.id, lost)
+
+    def _strike(self, worker: str, lost: tuple[LostRequest, ...]) -> None:
+        """Count a strike for each request that crashed a worker."""
+        for item in lost:
             entered = self._quarantine.record_strike(
-                lost_request.signature, worker, self._now()
+                item.signature, worker, self._now()
             )
             if entered:
                 self._node.sink.emit(
-                    RequestQuarantined(
-                        lost_request.request, lost_request.signature, worker
-                    )
+                    RequestQuarantined(item.request, item.signature, worker)
                 )
 
-    def record_alive(self, worker: str) -> None:
-        """Discard the lost requests of a worker that answers."""
-        self._lost_requests.pop(worker, None)
+    def record_alive(self, worker: str, asked_at: float) -> None:
+        """Discard what a worker lost before a request that it has answered."""
+        self._evidence.record_alive(worker, asked_at)
+
+    def forget(self, worker: str) -> None:
+        """Discard the lost requests of a worker that is leaving."""
+        self._evidence.forget(worker)
 
     def strikes(self) -> tuple[Strike, ...]:
         """Return the newest strikes that this instance has recorded."""
--- a/packages/gateway/src/sycamorenotch_gateway/_workers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_workers.py
@@ -119,6 +119,8 @@
 
     def remove_reassigned(self, view: WorkerView) -> None:
         """Remove a worker whose address now belongs to another one."""
+        if not view.leaving:
+            self._suspicion.record_restarted(view.entry.id)
         self._remove(view.entry.id, "another worker has its address", 0)
 
     def record_leaving(self, view: WorkerView) -> None:
@@ -225,7 +227,10 @@
             existing.revision = revision
             return
         if existing is not None and existing.entry.incarnation != entry.incarnation:
-            self._suspicion.record_crash(entry.id)
+            self._suspicion.record_restarted(entry.id)
+        if entry.draining:
+            self._suspicion.forget(entry.id)
+        self._suspicion.record_replaced(entry)
         self.directory.put(entry, now, revision)
         self._node.sink.emit(
             WorkerChanged(
@@ -246,6 +251,8 @@
         if now < until and not view.leaving and not view.unreachable:
             self.directory.mark_missing(name, until)
             return
+        if not view.leaving:
+            self._suspicion.record_removed(name)
         self._remove(name, "its entry was removed", revision, gone=True)
 
     def _remove(
--- a/packages/policies/src/sycamorenotch_policies/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/__init__.py
@@ -47,6 +47,9 @@
 from sycamorenotch_policies._claims import fingerprint
 from sycamorenotch_policies._concurrency import ConcurrencyLimit
 from sycamorenotch_policies._connections import ConnectionBudget
+from sycamorenotch_policies._crash_evidence import CrashEvidence
+from sycamorenotch_policies._crash_evidence import LostRequest
+from sycamorenotch_policies._crash_evidence import ProbeResult
 from sycamorenotch_policies._distribution import ConfigurationHistory
 from sycamorenotch_policies._distribution import ConfigurationText
 from sycamorenotch_policies._distribution import Confirmation
@@ -179,6 +182,7 @@
     "Confirmation",
     "ConnectionBudget",
     "CountRing",
+    "CrashEvidence",
     "Demand",
     "DemandMeter",
     "DispatchCall",
@@ -204,6 +208,7 @@
     "LoadReport",
     "LookupAnswer",
     "LookupTable",
+    "LostRequest",
     "MakePlan",
     "Membership",
     "NearestRegion",
@@ -213,6 +218,7 @@
     "PeerState",
     "PlainRetry",
     "PlanDecision",
+    "ProbeResult",
     "Quarantine",
     "Queued",
     "RankedAdmission",
--- a/packages/transport/src/sycamorenotch_transport/__init__.py
+++ b/packages/transport/src/sycamorenotch_transport/__init__.py
@@ -25,6 +25,7 @@
     from sycamorenotch_transport._http1_server import Handler
     from sycamorenotch_transport._http1_server import Http1Server
     from sycamorenotch_transport._listeners import HttpListener
+    from sycamorenotch_transport._probe import probe_address
     from sycamorenotch_transport._resolver import LiteralResolver
     from sycamorenotch_transport._resolver import install_literal_resolver
     from sycamorenotch_transport._response_buffers import ResponseBuffers
@@ -50,6 +51,7 @@
     "RejectionResponse": "_bounded_http",
     "RejectionReason": "_bounded_http",
     "ResponseBuffers": "_response_buffers",
+    "probe_address": "_probe",
     "ResponseMatch": "_http1_client",
     "ResponseLimits": "_response_buffers",
     "get_header": "_http1_messages",
@@ -79,6 +81,7 @@
     "ResponseMatch",
     "get_header",
     "install_literal_resolver",
+    "probe_address",
     "strip_hop_by_hop_headers",
 ]
 
--- a/packages/transport/src/sycamorenotch_transport/_http1_client.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -59,6 +59,7 @@
 
     :param sent: whether any byte of the request may have reached the server.
     :param connected: whether the connection was established.
+    :param refused: whether the server refused the connection.
     :param idle_s: seconds for which the connection was idle before the request,
         or None if this was its first request.
     :param response_started: whether any byte of a response arrived.
@@ -70,12 +71,14 @@
         *,
         sent: bool,
         connected: bool,
+        refused: bool = False,
         idle_s: float | None = None,
         response_started: bool = False,
     ) -> None:
         super().__init__(detail)
         self.sent = sent
         self.connected = connected
+        self.refused = refused
         self.idle_s = idle_s
         self.response_started = response_started
 
--- a/packages/transport/src/sycamorenotch_transport/_http1_pool.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_pool.py
@@ -9,6 +9,7 @@
 from typing import final
 
 from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
@@ -51,7 +52,10 @@
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         if not self._result.called:
             detail = reason.getErrorMessage()
-            self._result.errback(ExchangeError(detail, sent=False, connected=False))
+            refused = reason.check(ConnectionRefusedError) is not None
+            self._result.errback(
+                ExchangeError(detail, sent=False, connected=False, refused=refused)
+            )
 
 
 @final
