Send long request bodies in pieces, and close what answered early

Cause: the output of a worker's connection held a second and third copy of a whole body, and a connection whose worker responded before it had read the body was used again. Change: a body of more than 64 KiB is written by a producer as the worker reads it; the connection is aborted if the response comes before its end.

--- a/packages/transport/src/sycamorenotch_transport/_http1_client.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -14,6 +14,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from sycamorenotch_transport._body_sender import BodySender
 from sycamorenotch_transport._http1_messages import HttpRequest
 from sycamorenotch_transport._http1_messages import HttpResponse
 from sycamorenotch_transport._http1_messages import decode_headers
@@ -98,6 +99,7 @@
         self._matches: ResponseMatcher = match_any
         self._on_response_started: Callable[[], None] = do_nothing
         self._sent_head: h11.Request | None = None
+        self._sender: BodySender | None = None
         self._head: h11.Response | None = None
         self._body = bytearray()
         self._pieces = 0
@@ -138,15 +140,13 @@
         self._pending = pending
         try:
             self._sent_head = _encode_head(request)
-            out = [self._http.send(self._sent_head)]
-            if request.body:
-                out.append(self._http.send(h11.Data(data=request.body)))
-            out.append(self._http.send(h11.EndOfMessage()))
+            head = self._http.send(self._sent_head)
+            assert head is not None
+            self._sender = BodySender(self._http, self.transport, request.body)
+            self._sender.start(head)
         except h11.LocalProtocolError as exc:
             self._fail(f"the request cannot be encoded: {exc}", sent=False)
             self.abort()
-            return pending
-        self.transport.write(b"".join(filter(None, out)))
         return pending
 
     def dataReceived(self, data: bytes) -> None:
@@ -171,12 +171,14 @@
             self._parse()
         self._fail(reason.getErrorMessage(), sent=True)
         self._release_body()
+        self._stop_sending()
         self._on_done(self)
 
     def abort(self) -> None:
         """Close without sending buffered data; the connection is not reused."""
         self.reusable = False
         self._release_body()
+        self._stop_sending()
         self.transport.abortConnection()
 
     def reject_response(self, detail: str) -> None:
@@ -184,6 +186,12 @@
         self._fail(detail, sent=True)
         self.abort()
 
+    def _stop_sending(self) -> None:
+        """Release the request body."""
+        sender, self._sender = self._sender, None
+        if sender is not None:
+            sender.stopProducing()
+
     def _cancel(self) -> None:
         self._pending = None
         self.abort()
@@ -284,9 +292,13 @@
         if match is not None:
             self.max_idle_s = float(match.group(1)) - KEEP_ALIVE_MARGIN_S
         trailing, _ = self._http.trailing_data
-        if trailing or not self.reusable:
+        # A server that has responded may read the rest of the body later, and take
+        # what is sent after it for a part of it.
+        sent = self._sender is None or self._sender.done
+        if trailing or not sent or not self.reusable:
             self.abort()
             return
+        self._sender = None
         try:
             self._http.start_next_cycle()
         except h11.LocalProtocolError:
--- a/testing/transport/test_http1_client.py
+++ b/testing/transport/test_http1_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 import pytest
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
@@ -30,10 +32,20 @@
         self.disconnecting = True
 
 
+class FullTransport(Transport):
+    """Takes one piece of a body and then asks the producer to pause."""
+
+    def write(self, data: bytes) -> None:
+        super().write(data)
+        if self.producer is not None:
+            self.producer.pauseProducing()
+
+
 class ClientHarness:
     """A pool on a simulated reactor, with the connections that it opened."""
 
-    def __init__(self) -> None:
+    def __init__(self, transport_class: type[Transport] = Transport) -> None:
+        self.transport_class = transport_class
         self.reactor = MemoryReactorClock()
         self.pool = Http1Pool(self.reactor, "10.0.0.1:80", self.reactor.seconds)
         self.transports: list[Transport] = []
@@ -50,7 +62,7 @@
     def accept(self) -> Transport:
         factory = self.reactor.tcpClients[-1][2]
         protocol = factory.buildProtocol(None)
-        transport = Transport()
+        transport = self.transport_class()
         self.protocols.append(protocol)
         self.transports.append(transport)
         protocol.makeConnection(transport)
@@ -196,3 +208,44 @@
     assert not harness.error.sent
     assert transport.aborted
     assert transport.value() == b""
+
+
+LONG = HttpRequest("POST", "/a", (("Host", "h"), ("X-Id", "7")), bytes(1_000_000))
+
+
+def test_long_body_is_sent_in_pieces_while_the_server_reads() -> None:
+    # The output of a connection must not hold another copy of the whole body.
+    harness = ClientHarness(FullTransport)
+    harness.exchange(LONG)
+    transport = harness.accept()
+    sizes = [0]
+    while transport.producer is not None:
+        sizes.append(len(transport.value()))
+        transport.producer.resumeProducing()
+    assert len(sizes) > 10
+    assert max(b - a for a, b in pairwise(sizes)) < 70_000
+    assert transport.value().endswith(b"\r\n\r\n" + LONG.body)
+    harness.respond(OK)
+    assert harness.results[0].body == b"hi"
+    assert not transport.aborted
+
+
+@pytest.mark.parametrize("reads", [0, 3])
+def test_connection_is_not_reused_after_a_response_before_the_end_of_the_body(
+    reads,
+) -> None:
+    # The server may read the rest of the body later, or take the next request for it.
+    harness = ClientHarness(FullTransport)
+    harness.exchange(LONG)
+    transport = harness.accept()
+    for _ in range(reads):
+        transport.producer.resumeProducing()
+    harness.respond(OK)
+    assert harness.results[0].body == b"hi"
+    assert transport.aborted == 1
+    assert transport.producer is None
+    sent = len(transport.value())
+    harness.exchange()
+    harness.accept()
+    assert len(harness.transports) == 2
+    assert len(transport.value()) == sent
