Forget a request when its connection becomes idle

Cause: an idle connection to a worker kept the matcher of its last response, and with it the request and its body. Change: the matcher and the callback are reset when the connection is prepared for reuse. Measured: the new test fails without the change.

--- a/packages/transport/src/sycamorenotch_transport/_http1_client.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -299,6 +299,8 @@
             self.abort()
             return
         self._sender = None
+        # The matcher refers to the request, and thereby to its body.
+        self._matches, self._on_response_started = match_any, do_nothing
         try:
             self._http.start_next_cycle()
         except h11.LocalProtocolError:
--- a/testing/transport/test_http1_client.py
+++ b/testing/transport/test_http1_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import gc
+import weakref
 from itertools import pairwise
 
 import pytest
@@ -16,6 +18,7 @@
 from sycamorenotch_transport import ExchangeError
 from sycamorenotch_transport import Http1Pool
 from sycamorenotch_transport import HttpRequest
+from sycamorenotch_transport import HttpResponse
 from sycamorenotch_transport import get_header
 
 REQUEST = HttpRequest("GET", "/a", (("Host", "h"), ("X-Id", "7")))
@@ -210,6 +213,26 @@
     assert transport.value() == b""
 
 
+class Matcher:
+    """Accepts every response; stands for one that refers to its request."""
+
+    def __call__(self, response: HttpResponse) -> bool:
+        return True
+
+
+def test_idle_connection_does_not_keep_the_last_request() -> None:
+    # A pool's idle connections would keep a long body each.
+    harness = ClientHarness()
+    matcher = Matcher()
+    kept = weakref.ref(matcher)
+    harness.exchange(matches=matcher)
+    del matcher
+    harness.accept()
+    harness.respond(OK)
+    gc.collect()
+    assert kept() is None
+
+
 LONG = HttpRequest("POST", "/a", (("Host", "h"), ("X-Id", "7")), bytes(1_000_000))
 
 
