Keep room for short bodies and for requests without one

Cause: no timeout applies to bodies, so that clients that never finish theirs could fill the account; then every newer request with a short body got a 503. Refusals for want of memory named no time for a retry. Change: bodies alone may fill 0.9 of the total, and the newest body of 64 KiB or more is refused in place of a short one. These 503 carry Retry-After: 0.50. Measured: the two new tests of the account fail without the change; 188 tests of testing/gateway, testing/transport, testing/architecture, testing/docs and testing/policies/test_client_memory.py pass, make lint types too.

--- a/packages/gateway/src/sycamorenotch_gateway/_front_end.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_front_end.py
@@ -43,6 +43,8 @@
 # the closing of connections.
 ACCEPT_FRACTION = 0.5
 FINISH_FRACTION = 0.86
+# Retry-After of a refusal for want of memory; requests in progress end in about 1 s.
+RETRY_AFTER_S = 0.5
 
 ERROR_KINDS_BY_STATUS = {
     400: ErrorKind.BAD_REQUEST,
@@ -135,7 +137,8 @@
         if status == 500:
             refusal = Refusal(ErrorKind.INTERNAL, Ran.UNKNOWN, detail)
         else:
-            refusal = Refusal(kind, Ran.NO, detail)
+            retry_after_s = RETRY_AFTER_S if status == 503 else None
+            refusal = Refusal(kind, Ran.NO, detail, retry_after_s)
         return self._node.dialect.encode_refusal("", refusal)
 
     async def _serve_call(self, request: HttpRequest) -> HttpResponse:
--- a/packages/policies/src/sycamorenotch_policies/client_memory/_account.py
+++ b/packages/policies/src/sycamorenotch_policies/client_memory/_account.py
@@ -15,6 +15,11 @@
 # Evictions go on until this part of the total is used, so that the search for clients
 # to close is not repeated for every byte beyond the total.
 RELIEVED_PART = 0.9
+# Part of the total that bodies may fill, as clients may take any time to send them. The
+# rest keeps requests without bodies going; one body of 64 MiB fits on 200 MB.
+BODY_PART = 0.9
+# Shorter bodies are not refused in favour of longer ones that were there before.
+LONG_BODY_BYTES = 65_536
 # Requests that are sent ahead start only below this part of the limits. The rest is for
 # clients with nothing in progress.
 AHEAD_PART = 0.75
@@ -83,7 +88,11 @@
             self._sending_bodies.setdefault(use)
             self._never_served.pop(use, None)
             self._idle.pop(use, None)
-        if size > 0 and self.used_bytes > self.limits.total_bytes:
+        total = self.limits.total_bytes
+        full = self.used_bytes > total or (
+            kind is ByteKind.BODY and self.totals[kind] > total * BODY_PART
+        )
+        if size > 0 and full:
             self._relieve(use)
 
     def start(self, use: ClientUse) -> bool:
@@ -150,7 +159,7 @@
         """Evict clients until the total holds again; ``use`` was charged last."""
         target = int(self.limits.total_bytes * RELIEVED_PART)
         while self.used_bytes > target and self._uses:
-            newest = next(reversed(self._sending_bodies), use)
+            newest = self._newest_long_body() or use
             victim = self._choose_greedy()
             # Closing clients that sent little ahead would not make room for a body.
             if victim is None or newest.sizes[ByteKind.BODY] > victim[0].greedy_bytes:
@@ -159,6 +168,16 @@
             if victim[0] is use:
                 return
 
+    def _newest_long_body(self) -> ClientUse | None:
+        return next(
+            (
+                use
+                for use in reversed(self._sending_bodies)
+                if use.sizes[ByteKind.BODY] >= LONG_BODY_BYTES
+            ),
+            None,
+        )
+
     def _choose_greedy(self) -> tuple[ClientUse, EvictionReason] | None:
         """Return the client that left most unread, or else sent most ahead."""
         groups = (
--- a/packages/transport/src/sycamorenotch_transport/_http1_server.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_server.py
@@ -18,9 +18,9 @@
 from sycamorenotch_transport._http1_messages import HttpResponse
 from sycamorenotch_transport._http1_unread import UnreadWatch
 
-# Connections that the listener accepts in one turn of the loop, as Twisted would raise
-# this without bound; it adds at most 20. Those that are closed in exchange for them keep
-# their descriptors until the next turn.
+# Connections that the listener accepts in one turn of the loop. Twisted would raise
+# this without bound, and adds at most 20 now. Those that are closed in exchange for
+# them keep their descriptors until the next turn.
 ACCEPTS_PER_TURN = 32
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
--- a/testing/policies/test_client_memory.py
+++ b/testing/policies/test_client_memory.py
@@ -72,6 +72,26 @@
     assert clients.evicted == [("second", "memory")]
 
 
+def test_short_body_is_not_refused_for_long_ones_that_are_sent_slowly() -> None:
+    # Clients that never finish their bodies must not shut out ordinary ones.
+    clients = Clients()
+    old, slow, short = map(clients.open, ("old", "slow", "short"))
+    clients.account.charge(old, ByteKind.BODY, 500_000)
+    clients.account.charge(slow, ByteKind.BODY, 440_000)
+    clients.account.charge(short, ByteKind.BODY, 10_000)
+    assert clients.evicted == [("slow", "memory")]
+
+
+def test_bodies_leave_room_for_requests_without_one() -> None:
+    clients = Clients()
+    body, ordinary = clients.open("body"), clients.open("ordinary")
+    for _ in range(95):
+        clients.account.charge(body, ByteKind.BODY, 10_000)
+        assert clients.account.start(ordinary)
+        clients.account.end(ordinary)
+    assert clients.evicted == [("body", "memory")]
+
+
 def test_client_that_sent_little_ahead_is_not_closed_for_a_large_body() -> None:
     clients = Clients()
     ahead, body = clients.open("ahead"), clients.open("body")
