--- a/testing/platform/crowds.py
+++ b/testing/platform/crowds.py
@@ -78,7 +78,7 @@
         self._loop.stop()
 
 
-class _Factory(ClientFactory):
+class CrowdFactory(ClientFactory):
     noisy = False
 
     def __init__(self, client: Protocol) -> None:
@@ -158,7 +158,7 @@
 
     def enter(self, client: Protocol) -> None:
         """Let a client connect and send."""
-        connector = reactor.connectTCP("127.0.0.1", self.port, _Factory(client))
+        connector = reactor.connectTCP("127.0.0.1", self.port, CrowdFactory(client))
         self.clients.append(connector)
 
     def leave(self) -> None:
