--- a/packages/gateway/src/sycamorenotch_gateway/_front_end.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_front_end.py
@@ -8,6 +8,7 @@
 
 from twisted.internet.task import deferLater
 
+from sycamorenotch_gateway._clients import Clients
 from sycamorenotch_gateway._events import GatewayStopped
 from sycamorenotch_gateway._events import GatewayStopping
 from sycamorenotch_gateway._events import RequestRejected
@@ -23,6 +24,7 @@
 from sycamorenotch_kernel import front_ends
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_policies import choose_instances
+from sycamorenotch_policies.client_memory import ClientAccount
 from sycamorenotch_transport import Handler
 from sycamorenotch_transport import Http1Server
 from sycamorenotch_transport import HttpLimits
@@ -42,6 +44,8 @@
 # the closing of connections.
 ACCEPT_FRACTION = 0.5
 FINISH_FRACTION = 0.86
+# Retry-After of a refusal for want of memory; requests in progress end in about 1 s.
+RETRY_AFTER_S = 0.5
 
 # What a parser quotes from a malformed request, which may contain a key.
 QUOTED = re.compile(r"""(?:bytearray\()?b?['"].*""", re.DOTALL)
@@ -61,17 +65,19 @@
 class GatewayFrontEnd:
     """Serves callers, readiness probes, look-ups and metrics over HTTP."""
 
-    after: ClassVar[tuple[str, ...]] = ("forwarder", "peers", "metrics")
+    after: ClassVar[tuple[str, ...]] = ("forwarder", "peers", "clients")
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
         self._forwarder = node.require(Forwarder)
         self._peers = node.require(Peers)
         self._metrics = node.require(GatewayMetrics)
-        self._caller_server = self._create_server("callers", self._serve_call)
+        self._clients = node.require(Clients)
+        account = self._clients.account
+        self._caller_server = self._create_server("callers", self._serve_call, account)
         self._internal_servers = {
             "readiness": self._create_server("readiness", self._serve_readiness),
-            "lookups": self._create_server("lookups", self._serve_lookup),
+            "lookups": self._create_server("lookups", self._serve_lookup, account),
             "metrics": self._create_server("metrics", self._serve_metrics),
         }
         node.require(Routes).subscribe(self._apply_limits)
@@ -105,7 +111,9 @@
             await server.stop(0)
         node.sink.emit(GatewayStopped(node.settings.instance, unfinished))
 
-    def _create_server(self, name: str, handler: Handler) -> Http1Server:
+    def _create_server(
+        self, name: str, handler: Handler, account: ClientAccount | None = None
+    ) -> Http1Server:
         return Http1Server(
             self._node.reactor,
             handler,
@@ -113,15 +121,21 @@
             lambda detail: self._node.sink.emit(
                 RequestRejected(name, QUOTED.sub("(left out)", detail))
             ),
+            account=account,
+            on_eviction=self._clients.record_eviction,
         )
 
     def _apply_limits(self, configuration: ForwardingConfiguration) -> None:
         limits = configuration.limits
+        clients = self._node.settings.clients
         self._caller_server.http_limits = HttpLimits(
             limits.header_bytes,
             limits.body_bytes,
             limits.header_timeout_s,
             limits.idle_timeout_s,
+            self._clients.account.limits.total_bytes,
+            clients.pipelined_requests,
+            clients.unread_timeout.total_seconds(),
         )
 
     def _encode_error(self, status: int, detail: str) -> HttpResponse:
@@ -129,7 +143,8 @@
         if status == 500:
             refusal = Refusal(ErrorKind.INTERNAL, Ran.UNKNOWN, detail)
         else:
-            refusal = Refusal(kind, Ran.NO, detail)
+            retry_after_s = RETRY_AFTER_S if status == 503 else None
+            refusal = Refusal(kind, Ran.NO, detail, retry_after_s)
         return self._node.dialect.encode_refusal("", refusal)
 
     async def _serve_call(self, request: HttpRequest) -> HttpResponse:
--- a/packages/gateway/src/sycamorenotch_gateway/_metrics.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 from typing import ClassVar
 from typing import final
@@ -95,6 +96,17 @@
             "Answers by the ratio of the time that they took to the time expected.",
             **options,
         )
+        self._evicted = Counter(
+            "sycamorenotch_gateway_clients_limited_total",
+            "Clients closed or refused because of what clients use, by reason.",
+            **options,
+        )
+        self._client_bytes = Gauge(
+            "sycamorenotch_gateway_client_bytes",
+            "Bytes held for clients, by kind.",
+            **options,
+        )
+        self._measure_clients: Callable[[], dict[str, int]] = dict
         node.provide(GatewayMetrics, self)
 
     def start(self) -> None:
@@ -113,6 +125,14 @@
         self._requests.inc(labels)
         self._latency.observe({"status": labels["status"]}, seconds)
 
+    def count_evicted_client(self, reason: str) -> None:
+        """Count a client that was closed or refused because of what clients use."""
+        self._evicted.inc({"reason": reason})
+
+    def measure_clients(self, measure: Callable[[], dict[str, int]]) -> None:
+        """Set the function that returns the bytes held for clients by kind."""
+        self._measure_clients = measure
+
     def render(self) -> tuple[bytes, str]:
         """Return the page and its content type."""
         self._state.set({"of": "configuration"}, self._routes.version)
@@ -130,6 +150,8 @@
             for bound, count in zip(ERROR_LABELS, work.errors, strict=True):
                 self._estimates.set({"service": service, "up_to": bound}, count)
         self._render_customers()
+        for kind, size in self._measure_clients().items():
+            self._client_bytes.set({"kind": kind}, size)
         body, _ = render(self._registry, [TEXT_FORMAT])
         return body, TEXT_FORMAT
 
