Let the platform's plug-in read the bounds and limits that the template lists

Cause: the review's stand fills the settings template with its own renderer, which knows no sections of single fields and no field max_file_descriptors, so its scripts could not run.

--- a/packages/gateway/src/sycamorenotch_gateway/_settings.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_settings.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from datetime import timedelta
+from itertools import chain
 from typing import Annotated
+from typing import Any
+from typing import TypeVar
 from typing import final
 
+from pydantic import ConfigDict
 from pydantic import Field
 
 from sycamorenotch_documents import Address
@@ -35,6 +40,32 @@
 ByteCount = Annotated[int, Field(gt=0)]
 
 
+class DeploymentSection(SectionModel):
+    """Base of sections that hold what a platform states of a deployment.
+
+    A plug-in registers one if a template can only list all that the platform states.
+    Options that the plug-in does not know are ignored.
+    """
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    def machine_options(self) -> dict[str, Any]:
+        """Return options of ``[machine]`` that the section states."""
+        return {}
+
+    def bounds_options(self) -> dict[str, Any]:
+        """Return options of ``[bounds]`` that the section states."""
+        return {}
+
+
+D = TypeVar("D", bound=type[DeploymentSection])
+
+
+def deployment_section(name: str) -> Callable[[D], D]:
+    """Return a decorator that registers a :class:`DeploymentSection` by its title."""
+    return section(GATEWAY_KINDS, name, named=False, required=False)
+
+
 @section(GATEWAY_KINDS, "instance", named=False)
 class InstanceSection(SectionModel):
     """``[instance]``: identifier and location of this instance."""
@@ -201,7 +232,13 @@
     instance = sections["instance"][""]
     regions = {name: model.region for name, model in sections["data_centre"].items()}
     platform = sections["platform"][""]
+    models = chain.from_iterable(named.values() for named in sections.values())
+    stated = [model for model in models if isinstance(model, DeploymentSection)]
     machine = sections["machine"].get("", MachineSection())
+    bounds = sections["bounds"].get("", BoundsSection())
+    for model in stated:
+        machine = machine.model_copy(update=model.machine_options())
+        bounds = bounds.model_copy(update=model.bounds_options())
     answers = sections["answers"].get("", AnswersSection())
     return GatewaySettings(
         instance=instance.id,
@@ -215,7 +252,7 @@
             machine.processor_share * machine.processor_speed, machine.link_mbps
         ),
         machine=machine,
-        bounds=sections["bounds"].get("", BoundsSection()),
+        bounds=bounds,
         response_limits=ResponseLimits(answers.max_bytes, answers.buffered_bytes),
         clients=sections["clients"].get("", ClientsSection()),
     )
--- a/packages/gateway/src/sycamorenotch_gateway/main.py
+++ b/packages/gateway/src/sycamorenotch_gateway/main.py
@@ -51,6 +51,8 @@
 def _run(argv: list[str]) -> int:
     # Timers must not depend on steps of the wall clock.
     reactor.seconds = time.monotonic
+    # Plug-ins register sections of the settings.
+    load_plugins()
     try:
         path = _settings_path()
         settings = parse_gateway_settings(path.read_text())
@@ -71,7 +73,6 @@
 
 
 def _build(settings: GatewaySettings) -> Gateway:
-    load_plugins()
     log = LogWriter(reactor, sys.stdout.fileno(), time.monotonic, settings.instance)
     reactor.addSystemEventTrigger("after", "shutdown", log.flush)
     buffers = ResponseBuffers(settings.response_limits)
--- a/testing/gateway/test_settings.py
+++ b/testing/gateway/test_settings.py
@@ -15,6 +15,7 @@
 from sycamorenotch_gateway._reload import SettingsWatch
 from sycamorenotch_kernel import EventList
 from sycamorenotch_kernel import Resources
+from sycamorenotch_kernel import load_plugins
 
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "gateway.ini.template"
 FIELDS = {
@@ -49,23 +50,34 @@
 }
 ZONES = {"a": "west", "b": "east"}
 
+# Plug-ins register sections of the settings.
+load_plugins()
+
 
 def render(**changes: str) -> str:
-    text = TEMPLATE.read_text()
-    section = re.compile(r"\{\{#zones\}\}\n(.*?)\{\{/zones\}\}\n", re.S)
-    body = section.search(text)
-    assert body is not None
-    zones = "".join(
-        body.group(1).replace("{{@}}", name).replace("{{.}}", region)
-        for name, region in ZONES.items()
-    )
-    text = section.sub(lambda _: zones, text)
     fields = {**FIELDS, **changes}
-    # A section of one value is written only if the deployment has that value.
+    tables = {
+        "zones": ZONES,
+        **{
+            table: {
+                name.partition(".")[2]: value
+                for name, value in fields.items()
+                if name.startswith(table + ".")
+            }
+            for table in ("bounds", "limits")
+        },
+    }
+
+    def fill_section(found: re.Match[str]) -> str:
+        return "".join(
+            found.group(2).replace("{{@}}", name).replace("{{.}}", value)
+            for name, value in tables[found.group(1)].items()
+        )
+
     text = re.sub(
-        r"\{\{#([a-z_.]+)\}\}\n(.*?)\{\{/\1\}\}\n",
-        lambda found: found.group(2) if found.group(1) in fields else "",
-        text,
+        r"\{\{#([a-z]+)\}\}\n(.*?)\{\{/\1\}\}\n",
+        fill_section,
+        TEMPLATE.read_text(),
         flags=re.S,
     )
     return re.sub(r"\{\{([^}]*)\}\}", lambda found: fields[found.group(1)], text)
