Let the fault soak check keys, foreign entries and clients that read nothing

Cause: the soak knew nothing of customers, of entries of other writers, and of clients that send ahead and leave the responses unread. Change: two faults and a check of keys after the faults; requests without an identifier are left out of the accounts of attempts.

--- a/testing/platform/fault_soak.py
+++ b/testing/platform/fault_soak.py
@@ -33,7 +33,10 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.defer import gatherResults
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
 from twisted.internet.protocol import ProcessProtocol
+from twisted.internet.protocol import Protocol
 from twisted.internet.task import deferLater
 
 from sycamorenotch_kernel import load_plugins
@@ -72,6 +75,13 @@
 CONFIGURATION_APPLY_S = 2.5
 STABILITY_WINDOW_S = 4.0
 LATE_ROUTE = "/late/"
+KEY = "soak-key"
+CUSTOMER = "acme"
+# Requests that a client sends ahead, without the usual headers, and whose responses it
+# does not read.
+PIPELINED_REQUESTS = 60
+# Entries of other writers that name no worker.
+FOREIGN_ENTRIES = (None, [], {"service": 5}, {"service": "s", "address": "nowhere"})
 
 
 class GatewayProcess(ProcessProtocol):
@@ -134,6 +144,16 @@
         return await super()._handle(request)
 
 
+class NonReadingClient(Protocol):
+    """Sends requests ahead and leaves the responses unread."""
+
+    def connectionMade(self) -> None:
+        self.transport.pauseProducing()
+        self.transport.write(
+            b"GET /load/ahead HTTP/1.1\r\nHost: h\r\n\r\n" * PIPELINED_REQUESTS
+        )
+
+
 @dataclass
 class Soak:
     """Stand-ins, gateways, faults and checks of one run."""
@@ -242,7 +262,7 @@
         return found[0].ran if found else []
 
     def check_runs(self) -> None:
-        runs = Counter(attempt for worker in self.workers for attempt in worker.ran)
+        runs = Counter(a for worker in self.workers for a in worker.ran if a)
         unsafe = {
             get_header(request.headers, "x-attempt-id")
             for worker in self.workers
@@ -287,6 +307,8 @@
             "store-history": self.store.discard_history,
             "configuration": self.change_configuration,
             "evacuation": self.evacuate,
+            "foreign-entry": self.write_foreign_entry,
+            "unread-responses": self.send_ahead,
         }
         while reactor.seconds() < end:
             name = self.random.choice(sorted(kinds))
@@ -362,6 +384,18 @@
         else:
             self.store.put("evacuations", "a", {})
 
+    def write_foreign_entry(self) -> None:
+        name = f"foreign-{self.random.randrange(3)}"
+        self.store.put("servers", name, self.random.choice(FOREIGN_ENTRIES))
+
+    def send_ahead(self) -> None:
+        """Send many requests on one connection and read no response."""
+        host, _, port = self.random.choice(self.callers).rpartition(":")
+        factory = Factory.forProtocol(NonReadingClient)
+        connecting = TCP4ClientEndpoint(reactor, host, int(port), 1).connect(factory)
+        # A gateway that is down refuses the connection.
+        connecting.addErrback(lambda _: None)
+
     # Rate limits
 
     async def limit_rates(self) -> None:
@@ -386,7 +420,8 @@
 
     def was_told(self, worker: str, request: HttpRequest, at: float) -> bool:
         attempt = get_header(request.headers, "x-attempt-id")
-        told_at = self.told_at.get((worker, self.gateway_of[attempt]))
+        # Requests without an identifier are sent ahead, and no gateway is known.
+        told_at = self.told_at.get((worker, self.gateway_of.get(attempt, "")))
         return told_at is not None and at >= told_at + LEARNING_S
 
     def check_rate(self, worker: BusyWorker) -> None:
@@ -470,18 +505,18 @@
         self.store.put("config", "main", self.configuration)
         await deferLater(reactor, CONFIGURATION_APPLY_S, lambda: None)
         for gateway in self.callers:
-            status = await self.call_late_route(gateway)
+            status = await self.call_route(gateway, LATE_ROUTE)
             if status != 200:
                 self.problems.append(f"{gateway}: {status} on a route added late")
 
-    async def call_late_route(self, gateway: str) -> int | str:
+    async def call_route(self, gateway: str, path: str, key: str = "") -> int | str:
         """Return the status of a gateway's answer, or how the call failed."""
-        attempt = f"late-{gateway}"
+        attempt = f"{path}-{self.version}-{gateway}"
         self.gateway_of[attempt], self.sent_at[attempt] = gateway, reactor.seconds()
-        headers = (("Host", "h"), ("X-Attempt-Id", attempt))
+        headers = (("Host", "h"), ("X-Attempt-Id", attempt), ("X-Credential", key))
         pool = Http1Pool(reactor, gateway, reactor.seconds)
         exchange = Deferred.fromCoroutine(
-            pool.exchange(HttpRequest("GET", LATE_ROUTE, headers), 1.0)
+            pool.exchange(HttpRequest("GET", path, headers[: 3 if key else 2]), 1.0)
         )
         exchange.addTimeout(4.0, reactor)
         try:
@@ -491,6 +526,34 @@
         finally:
             pool.close()
 
+    # Keys of customers
+
+    async def check_keys(self) -> None:
+        """Check that a key is accepted while it is valid, and not in time after that."""
+        for keys, expected in (([KEY], 200), ([], 401)):
+            self.version += 1
+            self.configuration = configuration(self.version)
+            self.configuration["resources"].append(
+                {
+                    "resource_kind": "tenants",
+                    "metadata": {"name": CUSTOMER},
+                    "specification": {"keys": keys},
+                }
+            )
+            self.store.put("config", "main", self.configuration)
+            await deferLater(reactor, CONFIGURATION_APPLY_S, lambda: None)
+            for gateway in self.callers:
+                status = await self.call_route(gateway, "/safe/key", KEY)
+                if status != expected:
+                    self.problems.append(f"{gateway}: {status}, keys {keys}")
+        for worker in self.workers:
+            for request in worker.requests:
+                named = get_header(request.headers, "x-tenant")
+                if get_header(request.headers, "x-credential") or (
+                    request.target == "/safe/key" and named != CUSTOMER
+                ):
+                    self.problems.append(f"{worker.name}: key or {named!r} passed on")
+
     # The run
 
     async def run(self, seconds: float) -> None:
@@ -514,6 +577,7 @@
         await gatherResults(callers, consumeErrors=True)
         await self.wait_until_served()
         self.check_runs()
+        await self.check_keys()
 
     def end(self) -> None:
         """Kill the gateways, also after a failed run."""
