--- a/testing/platform/fault_soak.py
+++ b/testing/platform/fault_soak.py
@@ -529,7 +529,7 @@
     # Keys of customers
 
     async def check_keys(self) -> None:
-        """Check that a key is accepted while it is valid, and not in time after that."""
+        """Check that a key is accepted while it is valid, and refused in time after."""
         for keys, expected in (([KEY], 200), ([], 401)):
             self.version += 1
             self.configuration = configuration(self.version)
