Let a client that reads a large response slowly send its next request

Cause: with much output unread no request is read, but the timeout of headers began for what was received, and that of idle clients when the response was handed over; the client got a 408 after 3 s, or the end of its connection after 15 s.

Change: neither timeout runs while much output is unread; the one for clients that read nothing applies then.

Measured: the two cases of the new test failed before; testing/transport: 74 passed.

--- a/packages/transport/src/sycamorenotch_transport/_http1_connection.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_connection.py
@@ -273,11 +273,8 @@
         self._account.charge(self._use, RESPONSE, -size)
         if not self._output.size:
             self._server.unread.discard(self)
-        if not self._closing and self._started:
-            self._send_responses()
-            self._go_on()
-        elif not self._closing and self._reader.pending:
-            self._parse_soon()
+        self._send_responses()
+        self._go_on()
 
     def _write(self, parts: list[bytes], waiting_bytes: int = 0) -> None:
         """Write output and count it.
@@ -372,9 +369,12 @@
                 self.transport.resumeProducing()
 
     def _update_timer(self) -> None:
-        """Run the timeout of the headers, of an idle connection, or none."""
+        """Run the timeout of the headers, of an idle connection, or none.
+
+        While much output is unread, no request is read and its timeout is another one.
+        """
         limits = self._server.http_limits
-        if self._closing or self._started:
+        if self._closing or self._started or self._output.full:
             self._timeout.cancel()
         elif self.idle:
             self._timeout.start(limits.idle_timeout_s, self.close)
--- a/testing/transport/test_client_limits.py
+++ b/testing/transport/test_client_limits.py
@@ -102,6 +102,27 @@
     assert harness.evictions == []
 
 
+@pytest.mark.parametrize("early", [True, False])
+def test_slow_reader_of_a_large_response_may_send_the_next_request(
+    harness, early
+) -> None:
+    # The timeouts of headers and of idle clients began while it was still reading.
+    harness.send_ahead(GET)
+    harness.responses[0].callback(HttpResponse(200, body=LARGE))
+    if early:
+        harness.send_ahead(GET)
+    for _ in range(4):
+        harness.clock.pump([1.0] * 5)
+        harness.read()
+    if not early:
+        harness.send_ahead(GET)
+    assert harness.reports == []
+    assert len(harness.requests) == 2
+    harness.answer(1)
+    harness.clock.pump([1.0] * 16)
+    assert harness.transport.disconnecting
+
+
 def test_request_without_room_is_refused_and_not_passed_on(harness) -> None:
     # A 503 promises that the request has not run.
     harness.account.grants = False
