Charge a piece of a body only if it is kept

Cause: the piece that exceeds a limit was released without having been charged, so the account held too little while the connection ended.

Change: the limits are checked before the piece is added and counted.

Measured: the new test failed before (-2 bytes); testing/transport: 78 passed.

--- a/packages/transport/src/sycamorenotch_transport/_http1_connection.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_connection.py
@@ -170,17 +170,17 @@
             self._write([receiving.http.send(interim) or b""])
 
     def _receive_body(self, exchange: Exchange, data: bytes | bytearray) -> bool:
-        server = self._server
-        exchange.body.write(data)
-        server.total_body_bytes += len(data)
-        exchange.body_bytes += len(data)
-        if exchange.body_bytes > server.http_limits.body_bytes:
+        server, size = self._server, len(data)
+        if exchange.body_bytes + size > server.http_limits.body_bytes:
             self._reject(413, "the request body is too large")
             return False
-        if server.total_body_bytes > server.http_limits.buffered_bytes:
+        if server.total_body_bytes + size > server.http_limits.buffered_bytes:
             self._reject(503, "the buffers for request bodies are full")
             return False
-        self._account.charge(self._use, BODY, len(data))
+        exchange.body.write(data)
+        server.total_body_bytes += size
+        exchange.body_bytes += size
+        self._account.charge(self._use, BODY, size)
         return not self._closing
 
     def _may_read_next(self) -> bool:
--- a/testing/transport/test_client_limits.py
+++ b/testing/transport/test_client_limits.py
@@ -167,6 +167,14 @@
     assert harness.server.total_body_bytes == 0
 
 
+def test_body_over_a_limit_leaves_no_debt_in_the_account() -> None:
+    # A piece that was never charged must not be released.
+    harness = LimitedHarness(HttpLimits(body_bytes=1))
+    harness.send(POST)
+    assert harness.written.startswith(b"HTTP/1.1 413")
+    assert harness.account.bytes[1] == 0
+
+
 def test_unfinished_headers_are_counted(harness) -> None:
     harness.send(GET[:20])
     assert harness.account.bytes[0] == 20
