Bound what parsers of pipelined requests with bodies keep

Cause: after the headers a parser got all input, and the parser of a request in progress keeps what belongs to those behind it. 32 GETs with bodies held up to 2 MB on one connection that no account counts.

Change: the parser of a request that others may run beside gets 4 KiB at once.

--- a/packages/transport/src/sycamorenotch_transport/_http1_reader.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_reader.py
@@ -7,11 +7,12 @@
 
 import h11
 
+from sycamorenotch_transport._http1_exchange import SAFE_METHODS
 from sycamorenotch_transport._http1_exchange import Exchange
 
-# Bytes that a parser of request headers gets at once; each parser of a request in
-# progress keeps the part of them that belongs to the requests behind it.
-HEAD_PIECE_BYTES = 4_096
+# Bytes that a parser gets at once of a request that others may run beside; each parser
+# of a request in progress keeps the part of them that belongs to those behind it.
+PIPELINED_PIECE_BYTES = 4_096
 
 ReceiveBody = Callable[[Exchange, bytes | bytearray], bool]
 
@@ -128,7 +129,8 @@
         """
         if not self.input:
             return False
-        size = HEAD_PIECE_BYTES if exchange.head is None else len(self.input)
+        small = exchange.head is None or exchange.head.method in SAFE_METHODS
+        size = PIPELINED_PIECE_BYTES if small else len(self.input)
         piece, self.input = self.input[:size], self.input[size:]
         if exchange.head is None:
             self._head_bytes += len(piece)
--- a/testing/transport/test_client_limits.py
+++ b/testing/transport/test_client_limits.py
@@ -11,6 +11,7 @@
 
 from sycamorenotch_transport import HttpLimits
 from sycamorenotch_transport import HttpResponse
+from sycamorenotch_transport._http1_reader import PIPELINED_PIECE_BYTES
 
 LARGE = bytes(200_000)
 
@@ -175,6 +176,17 @@
     assert harness.account.bytes[1] == 0
 
 
+def test_pipelined_requests_with_bodies_keep_little_of_those_behind_them(
+    harness,
+) -> None:
+    # Each parser keeps what it got beyond its request, which no account counts.
+    head = b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\nX: " + b"a" * 4_040
+    harness.send_ahead(*[head + b"\r\n\r\n" + bytes(9)] * 9)
+    kept = [len(e.http.trailing_data[0]) for e in harness.connection._started]
+    assert len(kept) == 9
+    assert max(kept) <= PIPELINED_PIECE_BYTES
+
+
 def test_unfinished_headers_are_counted(harness) -> None:
     harness.send(GET[:20])
     assert harness.account.bytes[0] == 20
