Keep one timer for the check of unread responses

Cause: a connection that the check closes or marks may let another one write, which scheduled a check beside the one that the check itself schedules, for good.

Change: the check schedules the next one unless that is done.

Measured: the new test found 8 timers before; testing/transport: 78 passed.

--- a/packages/transport/src/sycamorenotch_transport/_http1_unread.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_unread.py
@@ -82,5 +82,5 @@
                 connection.close_unread()
             else:
                 connection.set_stalled(True)
-        if self._connections:
+        if self._connections and not self._scheduled:
             self._schedule()
--- a/testing/transport/test_client_limits.py
+++ b/testing/transport/test_client_limits.py
@@ -187,6 +187,22 @@
     assert max(kept) <= PIPELINED_PIECE_BYTES
 
 
+def test_checks_for_unread_responses_do_not_multiply(harness) -> None:
+    # A connection that is closed for it may let another one send its response.
+    class Blocking:
+        read_progress = 0
+
+        def set_stalled(self, stalled: bool) -> None:
+            harness.server.unread.add(Blocking())
+
+        def close_unread(self) -> None: ...
+
+    harness.server.unread.add(Blocking())
+    harness.clock.pump([1.25] * 4)
+    calls = harness.clock.getDelayedCalls()
+    assert sum(call.func == harness.server.unread._check for call in calls) == 1
+
+
 def test_unfinished_headers_are_counted(harness) -> None:
     harness.send(GET[:20])
     assert harness.account.bytes[0] == 20
