Respond to a request whose handler is cancelled by others

Cause: a handler that ends with CancelledError while its client is connected got no response; those behind it waited without a timeout.

Change: only the requests of a closed connection end without one.

Measured: the new test failed before; testing/transport: 78 passed.

--- a/packages/transport/src/sycamorenotch_transport/_http1_connection.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_connection.py
@@ -237,7 +237,7 @@
         return result
 
     def _fail(self, exchange: Exchange, failure: Failure) -> None:
-        if failure.check(CancelledError) is None:
+        if failure.check(CancelledError) is None or not self._closing:
             self._server.report(failure.getErrorMessage())
             self._respond(exchange, self._server.build_error(500, "internal error"))
 
--- a/testing/transport/test_http1_server.py
+++ b/testing/transport/test_http1_server.py
@@ -171,6 +171,13 @@
     assert harness.reports == ["broken"]
 
 
+def test_handler_that_is_cancelled_by_others_is_answered(harness) -> None:
+    # Without a response, the requests behind it would wait forever.
+    harness.send(GET)
+    harness.responses[0].cancel()
+    assert harness.written.startswith(b"HTTP/1.1 500")
+
+
 def test_body_is_rejected_when_the_body_buffers_are_full() -> None:
     harness = Harness(HttpLimits(buffered_bytes=4))
     harness.send(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n" + b"a" * 9)
