Close clients that read a response last, and start no request of a closed one

Cause: beyond the limit on connections, a client that was reading a long response counted as idle and was cut off before clients that had nothing left to read. A client that an eviction closes with another one was still granted its request, which nothing released.

Change: clients with unsent responses follow the other idle ones; the account refuses the request of a client that it has closed.

--- a/packages/policies/src/sycamorenotch_policies/client_memory/_account.py
+++ b/packages/policies/src/sycamorenotch_policies/client_memory/_account.py
@@ -110,9 +110,11 @@
             if victim is None or victim[0] is use:
                 return False
             self._evict(*victim)
+        if use not in self._uses:
+            # It was closed together with another one.
+            return False
         self.requests += 1
         use.requests += 1
-        use.served = True
         self._never_served.pop(use, None)
         self._idle.pop(use, None)
         self._sending_bodies.pop(use, None)
@@ -192,8 +194,10 @@
     def _choose_connection(self, newest: ClientUse) -> ClientUse:
         """Return the connection to close when there are too many.
 
-        Connections without a request in progress are closed before those with one.
+        Connections without a request in progress are closed before those with one, and
+        those that read a response after those that have read all.
         """
-        groups = (self._stalled, self._never_served, self._idle)
+        done = (use for use in self._idle if not use.sizes[ByteKind.RESPONSE])
+        groups = (self._stalled, self._never_served, done, self._idle)
         first = (next(iter(group), newest) for group in groups)
         return next((use for use in first if use is not newest), newest)
--- a/testing/policies/test_client_memory.py
+++ b/testing/policies/test_client_memory.py
@@ -136,6 +136,30 @@
     assert clients.evicted[1:] == [("idle", "connections")]
 
 
+def test_client_that_reads_a_response_is_closed_after_idle_ones() -> None:
+    # A long response would be cut off although its client reads it.
+    clients = Clients(connections=2)
+    reading, idle = clients.open("reading"), clients.open("idle")
+    for use in (reading, idle):
+        assert clients.account.start(use)
+        clients.account.end(use)
+    clients.account.charge(reading, ByteKind.RESPONSE, 500_000)
+    assert clients.account.start(clients.open("newest"))
+    assert clients.evicted == [("idle", "connections")]
+    clients.open("last")
+    assert clients.evicted[1:] == [("reading", "connections")]
+
+
+def test_client_that_is_closed_with_another_one_starts_no_request() -> None:
+    # Nothing would ever release the request.
+    clients = Clients()
+    greedy, closed = clients.open("greedy"), clients.open("closed")
+    greedy.client.evict = lambda reason: clients.account.close(closed)
+    clients.account.charge(greedy, ByteKind.RECEIVED, MEBIBYTE - 10_000)
+    assert not clients.account.start(closed)
+    assert (clients.account.used_bytes, clients.account.requests) == (0, 0)
+
+
 def test_new_connection_is_closed_when_all_others_are_busy() -> None:
     clients = Clients(connections=1)
     assert clients.account.start(clients.open("busy"))
