--- a/packages/policies/src/sycamorenotch_policies/client_memory/_account.py
+++ b/packages/policies/src/sycamorenotch_policies/client_memory/_account.py
@@ -135,7 +135,6 @@
 
     def set_stalled(self, use: ClientUse, stalled: bool) -> None:
         """Record whether a client makes no progress in reading."""
-        use.stalled = stalled
         if stalled and use in self._uses:
             self._stalled[use] = None
         else:
--- a/packages/policies/src/sycamorenotch_policies/client_memory/_use.py
+++ b/packages/policies/src/sycamorenotch_policies/client_memory/_use.py
@@ -53,15 +53,11 @@
     :param client: the connection.
     :ivar sizes: bytes by kind.
     :ivar requests: requests in progress.
-    :ivar served: whether a request was ever passed on.
-    :ivar stalled: whether the client leaves responses unread and makes no progress.
     """
 
     client: EvictableClient
     sizes: list[int] = field(default_factory=lambda: [0] * len(ByteKind))
     requests: int = 0
-    served: bool = False
-    stalled: bool = False
 
     @property
     def greedy_bytes(self) -> int:
