Ask all owners that share an object before its request is refused

Cause: two of the owners that share an object are drawn. If neither had room, a request was refused in a busy service although another one had.

Change: the owners that were not drawn are considered when no other worker fits.

--- a/packages/policies/src/sycamorenotch_policies/work/_earliest_finish.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_earliest_finish.py
@@ -113,6 +113,10 @@
         if not (busy and request.sticky_key) and all(c.run.wait_s > 0 for c in found):
             found += self._further(request, views, owners, found, now)
         fitting = [c for c in found if has_room(request, c, now)]
+        if not fitting and request.sticky_key:
+            rest = self._not_drawn(request, first[:copies], found, now)
+            fitting = [c for c in rest if has_room(request, c, now)]
+            found += rest
         if fitting:
             return self._best(request, first[0].region, found[0], fitting, now)
         return self._refuse(request, found, now)
@@ -164,6 +168,20 @@
         others = [item for item in placed if item is not preferred]
         return [preferred, self._random.choice(others)]
 
+    def _not_drawn(
+        self,
+        request: WorkerRequest,
+        sharing: list[WorkerView],
+        found: list[Candidate],
+        now: float,
+    ) -> list[Candidate]:
+        """Return the other owners that share an object; none of those found has room."""
+        return [
+            self._assess(request, view, place, now, is_owner=True)
+            for place, view in enumerate(sharing)
+            if not any(view is candidate.view for candidate in found)
+        ]
+
     def _local(
         self, request: WorkerRequest, views: tuple[WorkerView, ...], now: float
     ) -> list[WorkerView]:
--- a/testing/policies/test_earliest_finish.py
+++ b/testing/policies/test_earliest_finish.py
@@ -114,6 +114,22 @@
     assert chosen.view not in (first, second)
 
 
+# Only two of the owners that share an object were asked before a refusal.
+def test_request_for_a_shared_object_finds_the_owner_that_has_room() -> None:
+    directory, choice = build()
+    for step in range(4):
+        choice._copies.record_busy("s", "7", NOW - 4.0 + step)
+    views = directory.known("s")
+    free = list(choice._owners.ordered("s", "7", views))[4]
+    for view in views:
+        if view is not free:
+            fill(view, 0.6, 2 * SLOTS)
+    free.observe_load(LoadReport(0, 0, SLOTS, 1.0), NOW)
+    for _ in range(50):
+        free.service_load.observe(2.0, NOW)
+    assert all(choose(directory, choice).view is free for _ in range(10))
+
+
 def test_request_that_cannot_be_in_time_is_refused_at_once() -> None:
     directory, choice = build()
     refused = choose(directory, choice, time_left_s=0.03)
