Start no timer when the account of clients stops

Cause: the last report of evictions scheduled the next one. Change: at the stop the rest is written without a timer. Measured: the new test failed before; testing/gateway/test_clients.py: 4 passed.

--- a/packages/gateway/src/sycamorenotch_gateway/_clients.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_clients.py
@@ -50,7 +50,8 @@
         """Report what has not been reported."""
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
-            self._report()
+            if self._unreported:
+                self._emit()
 
     def record_eviction(self, reason: str) -> None:
         """Count a client that was closed or refused; the log line may come later."""
--- a/testing/gateway/test_clients.py
+++ b/testing/gateway/test_clients.py
@@ -80,3 +80,14 @@
     clients.record_eviction("memory")
     assert len(sink.events) == 3
     assert metrics.measure()["body"] == 0
+
+
+def test_stop_writes_the_last_evictions_and_leaves_no_timer() -> None:
+    # A timer after the end of the component would write to a closed log.
+    clients, clock, sink, _ = build()
+    clients.record_eviction("unread")
+    clients.record_eviction("memory")
+    with pytest.raises(StopIteration):
+        clients.stop().send(None)
+    assert [event.reasons for event in sink.events] == ["unread: 1", "memory: 1"]
+    assert clock.getDelayedCalls() == []
