--- a/packages/policies/src/sycamorenotch_policies/work/_candidates.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_candidates.py
@@ -68,12 +68,7 @@
     route, key = request.route.name, request.sticky_key
     work = view.work
     costs = work.service.costs
-    if key and work.has_seen(route, key, now):
-        warmth = Warmth.SEEN
-    elif is_owner and now >= view.cold_until:
-        warmth = Warmth.OWNED
-    else:
-        warmth = Warmth.UNSEEN
+    warmth = _warmth(request, view, is_owner=is_owner, now=now)
     cost = costs.estimate(route, warmth)
     cost_s = cost.mean_s
     slowdown = work.slowdown(now)
@@ -86,21 +81,23 @@
     requests = view.load(now)
     wait_s = work.wait_s(requests, view.entry.slots, now)
     round_trip_s = LOCAL_ROUND_TRIP_S if is_local else REMOTE_ROUND_TRIP_S
+    joined = running_s is not None
     run = ExpectedRun(
-        route,
-        key,
-        warmth,
-        cost_s,
-        wait_s,
-        round_trip_s,
-        slowdown,
-        inf,
-        running_s is not None,
+        *(route, key, warmth, cost_s, wait_s, round_trip_s, slowdown, inf, joined)
     )
     optimistic_s = round_trip_s + 0.5 * wait_s + cost.optimistic_s(now)
     return Candidate(view, run, requests, optimistic_s, place)
 
 
+def _warmth(
+    request: WorkerRequest, view: WorkerView, *, is_owner: bool, now: float
+) -> Warmth:
+    key = request.sticky_key
+    if key and view.work.has_seen(request.route.name, key, now):
+        return Warmth.SEEN
+    return Warmth.OWNED if is_owner and now >= view.cold_until else Warmth.UNSEEN
+
+
 def longest_wait_s(request: WorkerRequest, candidate: Candidate, now: float) -> float:
     """Return how long a request may be expected to wait, in seconds.
 
@@ -118,6 +115,7 @@
 
 
 def has_room(request: WorkerRequest, candidate: Candidate, now: float) -> bool:
+    """Return whether a worker may get the request although it has others."""
     if candidate.optimistic_s > request.time_left_s:
         return False
     if request.beside:
