Do not take a later refusal for a crash of a worker that was connected to

Cause: a worker whose probe connected after a reset and that stopped within 5 s was counted as crashed by the lost request, although a removed entry was not.

Change: a refused connection is no evidence either once the worker was connected to after the loss.

--- a/packages/policies/src/sycamorenotch_policies/_crash_evidence.py
+++ b/packages/policies/src/sycamorenotch_policies/_crash_evidence.py
@@ -120,7 +120,11 @@
         return ()
 
     def record_refused(self, worker: str, now: float) -> tuple[LostRequest, ...]:
-        """Record a refused connection; return the requests that crashed the worker."""
+        """Record a refused connection; return the requests that crashed the worker.
+
+        A worker that was connected to after the loss did not crash by it.
+        """
+        self._forget_connected(worker)
         return self._confirm(worker, now - REFUSAL_WINDOW_S)
 
     def record_restarted(self, worker: str, now: float) -> tuple[LostRequest, ...]:
@@ -132,9 +136,7 @@
 
         A worker that was connected to after the loss did not crash by it.
         """
-        suspect = self._suspects.get(worker)
-        if suspect is not None and suspect.connected:
-            self.forget(worker)
+        self._forget_connected(worker)
         return self._confirm(worker, now - ENTRY_WINDOW_S)
 
     def record_replaced(
@@ -163,6 +165,11 @@
         """Discard the lost requests of a worker whose end is no crash."""
         self._suspects.pop(worker, None)
 
+    def _forget_connected(self, worker: str) -> None:
+        suspect = self._suspects.get(worker)
+        if suspect is not None and suspect.connected:
+            self.forget(worker)
+
     def _confirm(self, worker: str, since: float) -> tuple[LostRequest, ...]:
         suspect = self._suspects.pop(worker, None)
         if suspect is None:
