Shorten a doc comment, and remove a count that nothing reads

Cause: a line was too long for the linter; served of client connections was only written. Change: as the title says. Measured: make lint types passes; testing/transport and test_earliest_finish.py pass.

--- a/packages/policies/src/sycamorenotch_policies/work/_earliest_finish.py
+++ b/packages/policies/src/sycamorenotch_policies/work/_earliest_finish.py
@@ -175,7 +175,7 @@
         found: list[Candidate],
         now: float,
     ) -> list[Candidate]:
-        """Return the other owners that share an object; none of those found has room."""
+        """Return the owners that share an object and are not among those found."""
         return [
             self._assess(request, view, place, now, is_owner=True)
             for place, view in enumerate(sharing)
--- a/packages/transport/src/sycamorenotch_transport/_http1_client.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -126,7 +126,6 @@
         self._informational = 0
         self._discarded = 0
         self._paused = False
-        self.served = 0
         self.max_idle_s = DEFAULT_MAX_IDLE_S
         self.idle_since = 0.0
         self.idle_s: float | None = None
@@ -300,7 +299,6 @@
             self.reusable = False
         pending, self._pending = self._pending, None
         self._release_body()
-        self.served += 1
         self._prepare_reuse(response)
         self._on_done(self)
         if pending is not None:
