--- a/packages/transport/src/sycamorenotch_transport/_http1_connection.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_connection.py
@@ -170,17 +170,17 @@
             self._write([receiving.http.send(interim) or b""])
 
     def _receive_body(self, exchange: Exchange, data: bytes | bytearray) -> bool:
-        server = self._server
-        exchange.body.write(data)
-        server.total_body_bytes += len(data)
-        exchange.body_bytes += len(data)
-        if exchange.body_bytes > server.http_limits.body_bytes:
+        server, size = self._server, len(data)
+        if exchange.body_bytes + size > server.http_limits.body_bytes:
             self._reject(413, "the request body is too large")
             return False
-        if server.total_body_bytes > server.http_limits.buffered_bytes:
+        if server.total_body_bytes + size > server.http_limits.buffered_bytes:
             self._reject(503, "the buffers for request bodies are full")
             return False
-        self._account.charge(self._use, BODY, len(data))
+        exchange.body.write(data)
+        server.total_body_bytes += size
+        exchange.body_bytes += size
+        self._account.charge(self._use, BODY, size)
         return not self._closing
 
     def _may_read_next(self) -> bool:
@@ -237,7 +237,7 @@
         return result
 
     def _fail(self, exchange: Exchange, failure: Failure) -> None:
-        if failure.check(CancelledError) is None:
+        if failure.check(CancelledError) is None or not self._closing:
             self._server.report(failure.getErrorMessage())
             self._respond(exchange, self._server.build_error(500, "internal error"))
 
@@ -273,11 +273,8 @@
         self._account.charge(self._use, RESPONSE, -size)
         if not self._output.size:
             self._server.unread.discard(self)
-        if not self._closing and self._started:
-            self._send_responses()
-            self._go_on()
-        elif not self._closing and self._reader.pending:
-            self._parse_soon()
+        self._send_responses()
+        self._go_on()
 
     def _write(self, parts: list[bytes], waiting_bytes: int = 0) -> None:
         """Write output and count it.
@@ -372,9 +369,12 @@
                 self.transport.resumeProducing()
 
     def _update_timer(self) -> None:
-        """Run the timeout of the headers, of an idle connection, or none."""
+        """Run the timeout of the headers, of an idle connection, or none.
+
+        While much output is unread, no request is read and its timeout is another one.
+        """
         limits = self._server.http_limits
-        if self._closing or self._started:
+        if self._closing or self._started or self._output.full:
             self._timeout.cancel()
         elif self.idle:
             self._timeout.start(limits.idle_timeout_s, self.close)
--- a/testing/transport/test_client_limits.py
+++ b/testing/transport/test_client_limits.py
@@ -11,6 +11,7 @@
 
 from sycamorenotch_transport import HttpLimits
 from sycamorenotch_transport import HttpResponse
+from sycamorenotch_transport._http1_reader import PIPELINED_PIECE_BYTES
 
 LARGE = bytes(200_000)
 
@@ -102,6 +103,27 @@
     assert harness.evictions == []
 
 
+@pytest.mark.parametrize("early", [True, False])
+def test_slow_reader_of_a_large_response_may_send_the_next_request(
+    harness, early
+) -> None:
+    # The timeouts of headers and of idle clients began while it was still reading.
+    harness.send_ahead(GET)
+    harness.responses[0].callback(HttpResponse(200, body=LARGE))
+    if early:
+        harness.send_ahead(GET)
+    for _ in range(4):
+        harness.clock.pump([1.0] * 5)
+        harness.read()
+    if not early:
+        harness.send_ahead(GET)
+    assert harness.reports == []
+    assert len(harness.requests) == 2
+    harness.answer(1)
+    harness.clock.pump([1.0] * 16)
+    assert harness.transport.disconnecting
+
+
 def test_request_without_room_is_refused_and_not_passed_on(harness) -> None:
     # A 503 promises that the request has not run.
     harness.account.grants = False
@@ -146,6 +168,41 @@
     assert harness.server.total_body_bytes == 0
 
 
+def test_body_over_a_limit_leaves_no_debt_in_the_account() -> None:
+    # A piece that was never charged must not be released.
+    harness = LimitedHarness(HttpLimits(body_bytes=1))
+    harness.send(POST)
+    assert harness.written.startswith(b"HTTP/1.1 413")
+    assert harness.account.bytes[1] == 0
+
+
+def test_pipelined_requests_with_bodies_keep_little_of_those_behind_them(
+    harness,
+) -> None:
+    # Each parser keeps what it got beyond its request, which no account counts.
+    head = b"GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\nX: " + b"a" * 4_040
+    harness.send_ahead(*[head + b"\r\n\r\n" + bytes(9)] * 9)
+    kept = [len(e.http.trailing_data[0]) for e in harness.connection._started]
+    assert len(kept) == 9
+    assert max(kept) <= PIPELINED_PIECE_BYTES
+
+
+def test_checks_for_unread_responses_do_not_multiply(harness) -> None:
+    # A connection that is closed for it may let another one send its response.
+    class Blocking:
+        read_progress = 0
+
+        def set_stalled(self, stalled: bool) -> None:
+            harness.server.unread.add(Blocking())
+
+        def close_unread(self) -> None: ...
+
+    harness.server.unread.add(Blocking())
+    harness.clock.pump([1.25] * 4)
+    calls = harness.clock.getDelayedCalls()
+    assert sum(call.func == harness.server.unread._check for call in calls) == 1
+
+
 def test_unfinished_headers_are_counted(harness) -> None:
     harness.send(GET[:20])
     assert harness.account.bytes[0] == 20
