Bound what a customer has admitted between two updates of its share

Cause: the mode and chance of admission are updated four times a second, and a customer in free mode had any number of requests admitted in between. At 3 requests per second, 200 requests within 0.2 s were all admitted, where 39.8 are allowed in a window. Change: the share is also due after the requests that make up the debt at which admission stops, and at least 4. Measured: test_burst_between_two_updates_stays_within_the_bound fails on the code before for all 6 combinations; testing/policies/test_customer_quotas.py: 57 passed. The burst above has 10 requests admitted by a lone instance, and 16 by one of 67.

--- a/packages/policies/src/sycamorenotch_policies/customer_quotas/_customer.py
+++ b/packages/policies/src/sycamorenotch_policies/customer_quotas/_customer.py
@@ -24,6 +24,10 @@
 # The bucket of a share may be in debt by up to so many requests while the known demand
 # is less than a third above what may be admitted, as the excess may be chance.
 CHANCE_DEBT = 4.0
+# After at least so many admitted requests, or those that make up the debt at which
+# admission stops, the share is due again. A burst between two regular updates would
+# otherwise be admitted whole.
+MIN_UNCHECKED = 4.0
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 10.0
 
@@ -80,6 +84,7 @@
         self.demand = demand
         self.refresh_at = now
         self._limits = limits
+        self._unchecked = 0
         self._start_tokens = start_tokens
         self._start_until = start_until
         self._share = Share(0.0, 0.0, 0.0, 0.0)
@@ -93,6 +98,7 @@
     def update(self, share: Share, now: float) -> None:
         """Apply a new share."""
         self._refill(now)
+        self._unchecked = 0
         self._share = share
         self._total.update(share, now)
         risen = self._has_risen(now)
@@ -105,11 +111,17 @@
             self._mode = AdmissionMode.CHANCE
         self._chance_debt = CHANCE_DEBT * max(0.0, 1.0 - 4.0 * (1.0 - chance))
 
+    def needs_update(self, now: float) -> bool:
+        """Whether the share is due, by time or by the requests admitted since."""
+        most = max(MIN_UNCHECKED, self._limits.stop)
+        return now >= self.refresh_at or self._unchecked >= most
+
     def admit(self, now: float, random: Callable[[], float]) -> QuotaRefusal | None:
         """Decide on one request, and count it if it is admitted."""
         self._refill(now)
         if self._is_admitted(now, random):
             self._tokens -= 1.0
+            self._unchecked += 1
             self._total.record_admitted()
             return None
         in_bucket = self._mode is AdmissionMode.BUCKET
--- a/packages/policies/src/sycamorenotch_policies/customer_quotas/_quotas.py
+++ b/packages/policies/src/sycamorenotch_policies/customer_quotas/_quotas.py
@@ -89,7 +89,7 @@
         if admission is None:
             admission = self._start(customer, now)
         admission.demand.record(now)
-        if now >= admission.refresh_at:
+        if admission.needs_update(now):
             self._refresh(customer, admission, now)
         return admission.admit(now, self._random)
 
--- a/testing/policies/test_customer_quotas.py
+++ b/testing/policies/test_customer_quotas.py
@@ -174,3 +174,20 @@
     refusals = [quotas.admit(NAME, 3.0 + n / 100) for n in range(300)]
     assert refusals[-1] is not None
     assert 0.1 <= refusals[-1].retry_after_s <= 2.0
+
+
+# A burst that ends before the next regular update must not be admitted whole.
+@pytest.mark.parametrize("peers", [0, 66])
+@pytest.mark.parametrize("rate", [3.0, 100.0, 400.0])
+def test_burst_between_two_updates_stays_within_the_bound(
+    rate: float, peers: int
+) -> None:
+    quotas = CustomerQuotas(BOUNDS, lambda: 0.5, 0.0)
+    quotas.configure([Customer(NAME, frozenset(), rate=rate, burst=rate)], 0.0)
+    quotas.set_fleet(peers, 1.0)
+    usual = DemandReport(0.6 * rate / (peers + 1), 1 / (peers + 1))
+    for index in range(peers):
+        quotas.peers.learn(f"p-{index}", {NAME: usual}, 30.0)
+    quotas.admit(NAME, 30.0)
+    admitted = [quotas.admit(NAME, 30.001) for _ in range(10_000)].count(None)
+    assert admitted <= BOUNDS.allowed(rate, rate) - 0.6 * rate * BOUNDS.window_s
