Keep what is known of other instances after a suspension

Cause: the first update after a suspension of more than two windows judged by the number of instances reached before it, so the instance forgot all others at once, took itself for the only one, and admitted whole quotas. Change: those lost count as not reached before the retention is chosen. Measured: test_instance_that_was_suspended_keeps_the_values_of_the_others fails on the code before.

--- a/packages/policies/src/sycamorenotch_policies/customer_quotas/_knowledge.py
+++ b/packages/policies/src/sycamorenotch_policies/customer_quotas/_knowledge.py
@@ -126,6 +126,8 @@
         ]
         for known in lost:
             known.reached = False
+        # After a suspension, all others are lost in one update.
+        self.reached -= len(lost)
         windows = MINORITY_WINDOWS if self.in_minority else RETENTION_WINDOWS
         limit = now - windows * self._window_s
         # Entries of instances that are gone may outnumber the others for good.
--- a/testing/policies/test_customer_quotas.py
+++ b/testing/policies/test_customer_quotas.py
@@ -191,3 +191,14 @@
     quotas.admit(NAME, 30.0)
     admitted = [quotas.admit(NAME, 30.001) for _ in range(10_000)].count(None)
     assert admitted <= BOUNDS.allowed(rate, rate) - 0.6 * rate * BOUNDS.window_s
+
+
+# A process that stood still would otherwise forget all others at once and take itself
+# for the only instance.
+def test_instance_that_was_suspended_keeps_the_values_of_the_others() -> None:
+    peers = PeerKnowledge(BOUNDS.window_s, 0.0)
+    for name in "abc":
+        peers.learn(name, {NAME: DemandReport(5.0, 0.25)}, 0.0)
+    peers.update(12.0)
+    assert peers.in_minority
+    assert peers.sums(NAME).all_part == pytest.approx(0.75)
