Accept quotas without any headroom

Cause: with an overage and a slack of 0, which the settings allow, each request of a customer without a burst failed with a division by zero. Change: the debt is divided by a positive number. Measured: test_quota_without_any_headroom_is_kept fails on the code before; testing/policies/test_customer_quotas.py: 59 passed.

--- a/packages/policies/src/sycamorenotch_policies/customer_quotas/_total.py
+++ b/packages/policies/src/sycamorenotch_policies/customer_quotas/_total.py
@@ -88,5 +88,6 @@
         saved = max(0.0, self._tokens) / SPEND_S
         usable = rate + min(saved, SCATTER_FACTOR * scatter)
         start, stop = self._limits.slow_down * reached, self._limits.stop * reached
-        unpaid = min(1.0, max(0.0, (self.debt - start) / (stop - start)))
+        # Without headroom, both limits are 0.
+        unpaid = min(1.0, max(0.0, (self.debt - start) / max(stop - start, 1e-9)))
         return min(1.0, usable / max(expected, 1e-9)) * (1.0 - unpaid)
--- a/testing/policies/test_customer_quotas.py
+++ b/testing/policies/test_customer_quotas.py
@@ -15,6 +15,7 @@
 from sycamorenotch_kernel import Customer
 from sycamorenotch_policies.customer_quotas import CustomerQuotas
 from sycamorenotch_policies.customer_quotas import DemandReport
+from sycamorenotch_policies.customer_quotas import QuotaBounds
 from sycamorenotch_policies.customer_quotas._knowledge import PeerKnowledge
 from sycamorenotch_policies.customer_quotas._knowledge import PeerSums
 from sycamorenotch_policies.customer_quotas._share import Fleet as KnownFleet
@@ -202,3 +203,11 @@
     peers.update(12.0)
     assert peers.in_minority
     assert peers.sums(NAME).all_part == pytest.approx(0.75)
+
+
+# Settings may allow nothing beyond the rate, which leaves no debt to divide by.
+def test_quota_without_any_headroom_is_kept() -> None:
+    quotas = CustomerQuotas(QuotaBounds(5.0, 0.0, 0.0), lambda: 0.5, 0.0)
+    quotas.configure([Customer(NAME, frozenset(), rate=10.0, burst=0.0)], 0.0)
+    admitted = [quotas.admit(NAME, 5.0 + n / 100) for n in range(500)].count(None)
+    assert 40 <= admitted <= 52
