Reject heartbeats with absurd ages as malformed

Cause: an age too large for a float or a time difference raised OverflowError, which the receiver of datagrams does not expect, so that no rejection was reported. Change: the codec raises ValueError for it, as for other malformed datagrams. Measured: test_heartbeat_with_absurd_ages_is_an_error fails on the code before; testing/gateway/test_heartbeats.py passes.

--- a/packages/gateway/src/sycamorenotch_gateway/_heartbeats.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_heartbeats.py
@@ -169,9 +169,13 @@
         :raises ValueError: if the datagram cannot be read.
         """
         try:
-            found = msgpack.unpackb(datagram)
-        except msgpack.UnpackException as exc:
+            return self._decode(datagram)
+        # Numbers may be too large for a time.
+        except (msgpack.UnpackException, OverflowError) as exc:
             raise ValueError(type(exc).__name__) from exc
+
+    def _decode(self, datagram: bytes) -> tuple[Heartbeat | None, tuple[Strike, ...]]:
+        found = msgpack.unpackb(datagram)
         if isinstance(found, dict) and "i" in found:
             return self._expand(CompactHeartbeatMessage.model_validate(found)), ()
         message = HeartbeatMessage.model_validate(found)
--- a/testing/gateway/test_heartbeats.py
+++ b/testing/gateway/test_heartbeats.py
@@ -116,6 +116,24 @@
         receiver.decode(datagram)
 
 
+# An error of another type would not be reported as a rejected datagram.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"limits": [{"w": "i-1", "l": 1.0, "a": "9" * 400}]},
+        {
+            "strikes": [
+                dict(signature="s", worker="w", origin="o", sequence=1, age_ms=2**62)
+            ]
+        },
+    ],
+)
+def test_heartbeat_with_absurd_ages_is_an_error(sender, receiver, changes) -> None:
+    sound = msgpack.unpackb(sender.encode(heartbeat(1), ()))
+    with pytest.raises(ValueError):
+        receiver.decode(msgpack.packb(sound | changes))
+
+
 REPORTS = (RateLimitReport("i-1", 7.5, 0.25), RateLimitReport("i-2", None, 2.0))
 
 
