Do not retract reported demand when a configuration is applied

Cause: a full heartbeat between a new configuration and the next turn stated an empty report, which others take for no demand. They raised their shares while this instance kept its own, so that the shares exceeded the quota until the next heartbeat. Change: such a heartbeat states no report, and others keep the former one. Measured: test_new_configuration_does_not_retract_reported_demand fails on the code before; testing/gateway/test_heartbeats.py and testing/platform/test_customer_quotas.py: 26 passed.

--- a/packages/gateway/src/sycamorenotch_gateway/_customer_quotas.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_customer_quotas.py
@@ -35,7 +35,7 @@
 class CustomerQuotaGate:
     """Admits requests of customers, and exchanges their demand in heartbeats.
 
-    :ivar report: what the next heartbeats state, or ``None`` without quotas.
+    :ivar report: what the next heartbeats state, or ``None`` if that is nothing.
     :ivar counts: requests by customer and decision, for the metrics.
     """
 
@@ -128,8 +128,9 @@
         self._quotas.configure(configuration.customers, self._node.clock())
         names = self._quotas.names
         self._codec = QuotaReportCodec(names) if names else None
-        # The former report refers to the names of the former configuration.
-        self.report = self._codec.encode({}) if self._codec else None
+        # The former report refers to the names of the former configuration. Others keep
+        # it until the next one.
+        self.report = None
         known = {customer.name for customer in configuration.customers}
         for name, decision in [key for key in self.counts if key[0] not in known]:
             del self.counts[name, decision]
--- a/testing/platform/test_customer_quotas.py
+++ b/testing/platform/test_customer_quotas.py
@@ -95,3 +95,17 @@
             await other.stop()
 
     run_on_site(scenario)
+
+
+# Others take a report without a customer for no demand of it.
+def test_new_configuration_does_not_retract_reported_demand(run_on_site) -> None:
+    async def scenario(site) -> None:
+        gate = site.gateway.node.require(CustomerQuotaGate)
+        set_customers(site.gateway, LIMITED)
+        await call_with(site, "k-1")
+        gate.update_report(0, 1.0, time.monotonic())
+        assert gate.report is not None
+        set_customers(site.gateway, LIMITED, FREE)
+        assert gate.report is None
+
+    run_on_site(scenario)
