Keep sending heartbeats when one peer states a malformed address

Cause: one heartbeat or entry whose address has no IPv4 host or valid port made the turn fail before it had sent heartbeats to all others, at every turn. Change: the address is logged as one that nothing can be sent to, as after other errors. Measured: test_heartbeats_go_on_with_a_peer_of_malformed_address fails on the code before for all three addresses, and passes.

--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -210,7 +210,8 @@
         host, _, port = entry.gossip.rpartition(":")
         try:
             self._port.write(message, (host, int(port)))
-        except OSError as exc:
+        # Entries and heartbeats may state addresses of any form.
+        except (OSError, ValueError, OverflowError) as exc:
             self._node.sink.emit(DatagramRejected(entry.id, f"not sent: {exc}"))
 
     async def _read_entries(self) -> timedelta:
--- a/testing/platform/test_gateway.py
+++ b/testing/platform/test_gateway.py
@@ -8,6 +8,11 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from sycamorenotch_gateway._heartbeats import HeartbeatCodec
+from sycamorenotch_gateway._peers import Peers
+from sycamorenotch_kernel import PeerEntry
+from sycamorenotch_kernel import Resources
+from sycamorenotch_policies import Heartbeat
 from sycamorenotch_policies import _idle_timeout
 from sycamorenotch_transport import get_header
 
@@ -270,3 +275,18 @@
         assert not site.events("request.quarantined")
 
     run_on_site(scenario, count=6)
+
+
+# Such an entry must not keep heartbeats from the other instances.
+@pytest.mark.parametrize("gossip", ["nowhere", "host:90", "127.0.0.1:99999"])
+def test_heartbeats_go_on_with_a_peer_of_malformed_address(run_on_site, gossip) -> None:
+    entry = PeerEntry("a-1", "west", "a", "127.0.0.1:80", gossip, 1)
+    sent = Heartbeat(entry, 1, True, Resources(1.0, 1.0), Resources(0.0, 0.0))
+
+    async def scenario(site) -> None:
+        peers = site.gateway.node.require(Peers)
+        peers.datagramReceived(HeartbeatCodec().encode(sent, ()), ("127.0.0.1", 1))
+        peers._send_heartbeats()
+        assert len(site.events("peer.datagram-rejected")) >= 2
+
+    run_on_site(scenario)
