Escape names of customers in metrics

Cause: the library does not escape labels, and names may contain quotes and backslashes. One such name made the whole page invalid. Change: the label is escaped as the text format asks. Measured: test_names_of_customers_are_escaped_in_metrics fails on the code before, and passes.

--- a/packages/gateway/src/sycamorenotch_gateway/_metrics.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_metrics.py
@@ -157,7 +157,7 @@
 
     def _render_customers(self) -> None:
         for (customer, decision), count in self._quotas.counts.items():
-            labels = {"customer": customer, "decision": decision}
+            labels = {"customer": _escape_label(customer), "decision": decision}
             self._quota_requests.set(labels, count)
         table = self._routes.table
         self._state.set(
@@ -166,3 +166,8 @@
         for reason, count in self._identity.refused.items():
             self._refused_keys.set({"reason": reason}, count)
         self._proven_age.set({}, round(self._routes.age_s, 3))
+
+
+def _escape_label(value: str) -> str:
+    """Return a label's value for the text format, as the library does not escape it."""
+    return value.replace("\\", "\\\\").replace('"', '\\"')
--- a/testing/platform/test_customer_quotas.py
+++ b/testing/platform/test_customer_quotas.py
@@ -109,3 +109,14 @@
         assert gate.report is None
 
     run_on_site(scenario)
+
+
+# One such name would make the whole page unreadable for the monitoring system.
+def test_names_of_customers_are_escaped_in_metrics(run_on_site) -> None:
+    async def scenario(site) -> None:
+        set_customers(site.gateway, dataclasses.replace(LIMITED, name='a"b\\c'))
+        await call_with(site, "k-1")
+        page = (await site.fetch("metrics", "/metrics")).body.decode()
+        assert 'customer="a\\"b\\\\c"' in page
+
+    run_on_site(scenario)
