Remove a constant without effect, and name refreshes as such

Cause: RATE_FRACTION was 1, and its comment spoke of a rest that there is none of. The task that refreshes an old configuration was named after questions.

--- a/packages/gateway/src/sycamorenotch_gateway/_key_age.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_key_age.py
@@ -16,9 +16,9 @@
 from sycamorenotch_policies.customers import KeyAgeLimits
 
 CHECK_INTERVAL = timedelta(seconds=0.2)
-# Each question may be a call to the store, which is charged. Spread, so that instances
+# Each refresh may be a call to the store, which is charged. Spread, so that instances
 # that lost the store together do not return together.
-ASK_INTERVAL_S = (1.0, 1.2)
+REFRESH_INTERVAL_S = (1.0, 1.2)
 
 
 @gateway_components.register("key-age")
@@ -36,7 +36,7 @@
         self._routes = node.require(Routes)
         self._sources = node.require(Sources)
         self._checks = node.background(self._check)
-        self._questions = node.background(self._ask)
+        self._refreshes = node.background(self._refresh_if_old)
         self._refused_since: float | None = None
         self._refused_before = 0
         self.refused = 0
@@ -45,12 +45,12 @@
     def start(self) -> None:
         """Start to check the age."""
         self._checks.start()
-        self._questions.start()
+        self._refreshes.start()
 
     async def stop(self) -> None:
         """Stop the checks; requests are still judged by the age."""
         self._checks.stop()
-        self._questions.stop()
+        self._refreshes.stop()
 
     def allows_keys(self) -> bool:
         """Whether keys may be trusted at this moment."""
@@ -86,13 +86,13 @@
             self.allows_keys()
         return CHECK_INTERVAL
 
-    async def _ask(self) -> timedelta:
+    async def _refresh_if_old(self) -> timedelta:
         """Ask the store whether the configuration is current, if it is getting old."""
         limits = self._node.settings.key_age_limits
         age_s = self._routes.age_s
         if limits is None or age_s < limits.ask_from_s or not self._has_customers:
             return CHECK_INTERVAL
-        next_at = self._node.clock() + self._node.random.uniform(*ASK_INTERVAL_S)
+        next_at = self._node.clock() + self._node.random.uniform(*REFRESH_INTERVAL_S)
         # In a long outage only the watchers try the store; the others poll them.
         waits = self._routes.lost and not self._sources.watches
         waits = waits and not limits.allows_keys(age_s)
--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -190,7 +190,7 @@
         listed = len(peers.recipients())
         self._quotas.update_report(listed, peers.longest_interval_s, now)
         message = self._message()
-        for entry in self.failure_detector.next_recipients():
+        for entry in peers.next_recipients():
             self._send(message, entry)
 
     def _message(self, *, full: bool = False) -> bytes:
--- a/packages/policies/src/sycamorenotch_policies/customer_quotas/_limits.py
+++ b/packages/policies/src/sycamorenotch_policies/customer_quotas/_limits.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from typing import final
 
-# Part of the rate that the shares hand out; the rest covers their rounding.
-RATE_FRACTION = 1.0
 # Known demand below this part of the rate is admitted freely, together with a rate
 # that would use up this part of the slack in one second.
 FREE_FRACTION = 0.88
@@ -65,11 +63,10 @@
     :param rate: requests per second that the customer may send.
     :param burst: requests that it may send on top.
     """
-    even = RATE_FRACTION * rate
     depth = BURST_FRACTION * burst + SAVED_SLACK_FRACTION * bounds.slack
-    headroom = bounds.allowed(rate, burst) - even * bounds.window_s - depth
+    headroom = bounds.allowed(rate, burst) - rate * bounds.window_s - depth
     return QuotaLimits(
-        even,
+        rate,
         FREE_FRACTION * rate + FREE_SLACK_FRACTION * bounds.slack,
         depth,
         SLOW_DOWN_FRACTION * headroom,
