Reject heartbeats whose figures are not finite or negative

Cause: a rate limit that is not a number made each later request to its worker fail with 500, and a negative capacity made the next look-up loop without end, which stopped the process from answering. Change: the models of heartbeats accept only finite numbers, and capacities, demand and limits of at least 0.

--- a/packages/gateway/src/sycamorenotch_gateway/_heartbeats.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_heartbeats.py
@@ -5,6 +5,7 @@
 import dataclasses
 from collections import OrderedDict
 from datetime import timedelta
+from typing import Annotated
 from typing import Any
 from typing import final
 
@@ -37,13 +38,19 @@
     return Field(default, validation_alias=name, serialization_alias=name)
 
 
+_Amount = Annotated[float, Field(ge=0)]
+_COMPACT_CONFIG = ConfigDict(
+    extra="ignore", frozen=True, allow_inf_nan=False, populate_by_name=True
+)
+
+
 class StrikeMessage(BaseModel):
     """The wire form of a strike.
 
     :param age_ms: time since it was recorded, in milliseconds.
     """
 
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
     signature: str
     worker: str
@@ -58,10 +65,10 @@
     :param limit: requests per second; none if the worker names no limit.
     """
 
-    model_config = ConfigDict(extra="ignore", frozen=True, populate_by_name=True)
+    model_config = _COMPACT_CONFIG
 
     worker: str = _wire_name("w")
-    limit: float | None = _wire_name("l")
+    limit: _Amount | None = _wire_name("l")
     age_ms: int = _wire_name("a")
 
 
@@ -72,7 +79,7 @@
     :param link_mbps: capacity in Mbit/s; ``used_link_mbps`` are in use.
     """
 
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
     id: str
     region: str
@@ -83,12 +90,12 @@
     sequence: int
     leaving: bool
     ready: bool
-    processors: float
-    link_mbps: float
+    processors: _Amount
+    link_mbps: _Amount
     used_processors: float
     used_link_mbps: float
     strikes: tuple[StrikeMessage, ...] = ()
-    demand: dict[str, float] | None = None
+    demand: dict[str, _Amount] | None = None
     limits: tuple[RateLimitMessage, ...] = ()
     quotas: bytes | None = None
 
@@ -103,7 +110,7 @@
     :param demand: only while workers name limits, as it divides these.
     """
 
-    model_config = ConfigDict(extra="ignore", frozen=True, populate_by_name=True)
+    model_config = _COMPACT_CONFIG
 
     id: str = _wire_name("i")
     started: int = _wire_name("b")
@@ -111,7 +118,7 @@
     ready: bool = _wire_name("r")
     millicores: int = _wire_name("c")
     kilobits: int = _wire_name("k")
-    demand: dict[str, float] | None = _optional_wire_name("d", None)
+    demand: dict[str, _Amount] | None = _optional_wire_name("d", None)
     limits: tuple[RateLimitMessage, ...] = _optional_wire_name("l", ())
     quotas: bytes | None = _optional_wire_name("q", None)
 
--- a/testing/gateway/test_heartbeats.py
+++ b/testing/gateway/test_heartbeats.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from datetime import timedelta
 
 import msgpack
@@ -116,11 +117,15 @@
         receiver.decode(datagram)
 
 
-# An error of another type would not be reported as a rejected datagram.
+# An error of another type would not be reported as a rejected datagram. A limit that is
+# not a number would make each request to its worker fail.
 @pytest.mark.parametrize(
     "changes",
     [
         {"limits": [{"w": "i-1", "l": 1.0, "a": "9" * 400}]},
+        {"limits": [{"w": "i-1", "l": math.nan, "a": 1}]},
+        {"demand": {"s": math.inf}},
+        {"processors": -1.0},
         {
             "strikes": [
                 dict(signature="s", worker="w", origin="o", sequence=1, age_ms=2**62)
@@ -128,7 +133,7 @@
         },
     ],
 )
-def test_heartbeat_with_absurd_ages_is_an_error(sender, receiver, changes) -> None:
+def test_heartbeat_with_absurd_numbers_is_an_error(sender, receiver, changes) -> None:
     sound = msgpack.unpackb(sender.encode(heartbeat(1), ()))
     with pytest.raises(ValueError):
         receiver.decode(msgpack.packb(sound | changes))
