--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -190,7 +190,7 @@
         listed = len(peers.recipients())
         self._quotas.update_report(listed, peers.longest_interval_s, now)
         message = self._message()
-        for entry in self.failure_detector.next_recipients():
+        for entry in peers.next_recipients():
             self._send(message, entry)
 
     def _message(self, *, full: bool = False) -> bytes:
@@ -210,7 +210,8 @@
         host, _, port = entry.gossip.rpartition(":")
         try:
             self._port.write(message, (host, int(port)))
-        except OSError as exc:
+        # Entries and heartbeats may state addresses of any form.
+        except (OSError, ValueError, OverflowError) as exc:
             self._node.sink.emit(DatagramRejected(entry.id, f"not sent: {exc}"))
 
     async def _read_entries(self) -> timedelta:
--- a/testing/policies/test_customer_quotas.py
+++ b/testing/policies/test_customer_quotas.py
@@ -15,6 +15,7 @@
 from sycamorenotch_kernel import Customer
 from sycamorenotch_policies.customer_quotas import CustomerQuotas
 from sycamorenotch_policies.customer_quotas import DemandReport
+from sycamorenotch_policies.customer_quotas import QuotaBounds
 from sycamorenotch_policies.customer_quotas._knowledge import PeerKnowledge
 from sycamorenotch_policies.customer_quotas._knowledge import PeerSums
 from sycamorenotch_policies.customer_quotas._share import Fleet as KnownFleet
@@ -174,3 +175,39 @@
     refusals = [quotas.admit(NAME, 3.0 + n / 100) for n in range(300)]
     assert refusals[-1] is not None
     assert 0.1 <= refusals[-1].retry_after_s <= 2.0
+
+
+# A burst that ends before the next regular update must not be admitted whole.
+@pytest.mark.parametrize("peers", [0, 66])
+@pytest.mark.parametrize("rate", [3.0, 100.0, 400.0])
+def test_burst_between_two_updates_stays_within_the_bound(
+    rate: float, peers: int
+) -> None:
+    quotas = CustomerQuotas(BOUNDS, lambda: 0.5, 0.0)
+    quotas.configure([Customer(NAME, frozenset(), rate=rate, burst=rate)], 0.0)
+    quotas.set_fleet(peers, 1.0)
+    usual = DemandReport(0.6 * rate / (peers + 1), 1 / (peers + 1))
+    for index in range(peers):
+        quotas.peers.learn(f"p-{index}", {NAME: usual}, 30.0)
+    quotas.admit(NAME, 30.0)
+    admitted = [quotas.admit(NAME, 30.001) for _ in range(10_000)].count(None)
+    assert admitted <= BOUNDS.allowed(rate, rate) - 0.6 * rate * BOUNDS.window_s
+
+
+# A process that stood still would otherwise forget all others at once and take itself
+# for the only instance.
+def test_instance_that_was_suspended_keeps_the_values_of_the_others() -> None:
+    peers = PeerKnowledge(BOUNDS.window_s, 0.0)
+    for name in "abc":
+        peers.learn(name, {NAME: DemandReport(5.0, 0.25)}, 0.0)
+    peers.update(12.0)
+    assert peers.in_minority
+    assert peers.sums(NAME).all_part == pytest.approx(0.75)
+
+
+# Settings may allow nothing beyond the rate, which leaves no debt to divide by.
+def test_quota_without_any_headroom_is_kept() -> None:
+    quotas = CustomerQuotas(QuotaBounds(5.0, 0.0, 0.0), lambda: 0.5, 0.0)
+    quotas.configure([Customer(NAME, frozenset(), rate=10.0, burst=0.0)], 0.0)
+    admitted = [quotas.admit(NAME, 5.0 + n / 100) for n in range(500)].count(None)
+    assert 40 <= admitted <= 52
