--- a/testing/platform/test_dialect.py
+++ b/testing/platform/test_dialect.py
@@ -45,7 +45,7 @@
     assert (call.host, call.path, call.target) == ("h.example", "/p/2f", "/p/2f?q=1")
 
 
-@pytest.mark.parametrize("value", ["", "-1", "1.5", "abc", "٣"])
+@pytest.mark.parametrize("value", ["", "-1", "1.5", "abc", "٣", "9" * 400, "9" * 5000])
 def test_timeout_is_unknown_when_malformed(dialect, value) -> None:
     headers = (("Host", "h"), ("X-Remaining-Milliseconds", value))
     assert dialect.decode_call(HttpRequest("GET", "/", headers)).ok.patience_s is None
