--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -42,7 +42,7 @@
 }
 
 # Asks for the changes that a followed instance may not have passed on, without a wait.
-CHECK_TIMEOUT_S = 1.5
+CHECK_TIMEOUT_S = WATCH_ANSWER_S
 # After a watch that got no answer: the idle time of its connection, the delay of the
 # next call, and the time that the store needs for its answer.
 READ_AGAIN_S = 0.3
--- a/packages/kernel/src/sycamorenotch_kernel/_feeds.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_feeds.py
@@ -16,7 +16,7 @@
 from sycamorenotch_kernel._forwarding import PeerEntry
 
 # A watch without changes is to be answered this long before its timeout.
-WATCH_ANSWER_S = 1.5
+WATCH_ANSWER_S = 1.2
 
 
 @final
