Split the gateway's events by what they are about

Change: events of customers, clients and workers in modules of their own; numbers, names and fields are unchanged, and docs/EVENTS.md is the same.

--- a/packages/gateway/src/sycamorenotch_gateway/_attempts.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_attempts.py
@@ -12,10 +12,10 @@
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 
 from sycamorenotch_gateway._events import AttemptFailed
-from sycamorenotch_gateway._events import IdleConnectionForgotten
-from sycamorenotch_gateway._events import WorkerFailed
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._suspicion import CrashSuspicion
+from sycamorenotch_gateway._worker_events import IdleConnectionForgotten
+from sycamorenotch_gateway._worker_events import WorkerFailed
 from sycamorenotch_gateway._workers import Workers
 from sycamorenotch_kernel import ForwardCall
 from sycamorenotch_kernel import ForwardingRoute
--- a/packages/gateway/src/sycamorenotch_gateway/_clients.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_clients.py
@@ -7,7 +7,7 @@
 from typing import ClassVar
 from typing import final
 
-from sycamorenotch_gateway._events import ClientsLimited
+from sycamorenotch_gateway._client_events import ClientsLimited
 from sycamorenotch_gateway._metrics import GatewayMetrics
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_kernel import gateway_components
--- a/packages/gateway/src/sycamorenotch_gateway/_customer_quotas.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_customer_quotas.py
@@ -7,9 +7,9 @@
 from typing import ClassVar
 from typing import final
 
-from sycamorenotch_gateway._events import QuotaExceeded
-from sycamorenotch_gateway._events import QuotaSharesFrozen
-from sycamorenotch_gateway._events import QuotaSharesResumed
+from sycamorenotch_gateway._customer_events import QuotaExceeded
+from sycamorenotch_gateway._customer_events import QuotaSharesFrozen
+from sycamorenotch_gateway._customer_events import QuotaSharesResumed
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._quota_reports import QuotaReportCodec
 from sycamorenotch_gateway._routes import Routes
--- a/packages/gateway/src/sycamorenotch_gateway/_evacuations.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_evacuations.py
@@ -4,9 +4,9 @@
 
 from typing import final
 
-from sycamorenotch_gateway._events import EvacuationChanged
 from sycamorenotch_gateway._follower import Follower
 from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._worker_events import EvacuationChanged
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import Topic
 from sycamorenotch_policies import WorkerDirectory
--- a/packages/gateway/src/sycamorenotch_gateway/_key_age.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_key_age.py
@@ -7,8 +7,8 @@
 from typing import ClassVar
 from typing import final
 
-from sycamorenotch_gateway._events import KeysAccepted
-from sycamorenotch_gateway._events import KeysRefused
+from sycamorenotch_gateway._customer_events import KeysAccepted
+from sycamorenotch_gateway._customer_events import KeysRefused
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._routes import Routes
 from sycamorenotch_gateway._sources import Sources
--- a/packages/gateway/src/sycamorenotch_gateway/_routes.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_routes.py
@@ -6,10 +6,10 @@
 from typing import ClassVar
 from typing import final
 
+from sycamorenotch_gateway._customer_events import CustomersChanged
 from sycamorenotch_gateway._events import ConfigurationApplied
 from sycamorenotch_gateway._events import ConfigurationIgnored
 from sycamorenotch_gateway._events import ConfigurationRejected
-from sycamorenotch_gateway._events import CustomersChanged
 from sycamorenotch_gateway._follower import Follower
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_kernel import Batch
--- a/packages/gateway/src/sycamorenotch_gateway/_suspicion.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_suspicion.py
@@ -8,8 +8,8 @@
 from typing import final
 
 from sycamorenotch_gateway._events import RequestQuarantined
-from sycamorenotch_gateway._events import WorkerProbed
 from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._worker_events import WorkerProbed
 from sycamorenotch_kernel import ErrorKind
 from sycamorenotch_kernel import ForwardCall
 from sycamorenotch_kernel import Ran
--- a/packages/gateway/src/sycamorenotch_gateway/_work_log.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_work_log.py
@@ -4,7 +4,7 @@
 
 from typing import final
 
-from sycamorenotch_gateway._events import WorkEstimated
+from sycamorenotch_gateway._worker_events import WorkEstimated
 from sycamorenotch_kernel import EventSink
 from sycamorenotch_policies import WorkerDirectory
 
