Remove a list of usable workers that only tests called

Cause: choices leave out workers in backoff themselves since they share their rules, so WorkerDirectory.usable was called by tests alone, and they passed other workers than the gateway does. Change: the method is gone; tests of choices pass the known workers, as the gateway does, and the test of the backoff checks the choice. Measured: test_worker_choice and test_worker_directory: 38 passed.

--- a/packages/policies/src/sycamorenotch_policies/_worker_directory.py
+++ b/packages/policies/src/sycamorenotch_policies/_worker_directory.py
@@ -79,17 +79,6 @@
         limits = self.limits.get(service)
         return 0.0 if limits is None else limits.cold_s
 
-    def usable(self, service: str, now: float) -> tuple[WorkerView, ...]:
-        """Return the workers of a service that may get requests.
-
-        Workers that are leaving, under evacuation or in backoff are left out.
-        """
-        return tuple(
-            view
-            for view in self._services.get(service, ())
-            if now >= view.backoff_until
-        )
-
     def known(self, service: str) -> tuple[WorkerView, ...]:
         """Return the workers of a service, including those in backoff.
 
--- a/testing/policies/test_worker_choice.py
+++ b/testing/policies/test_worker_choice.py
@@ -58,7 +58,7 @@
     tried = kwargs.pop("tried", frozenset())
     request = WorkerRequest(make_route(**kwargs), "s", key, tried)
     choice = make_choice(directory, region, may_warm_up)
-    return choice.choose(request, directory.usable("s", now), now)
+    return choice.choose(request, directory.known("s"), now)
 
 
 def test_same_object_gets_same_worker_when_choices_are_independent(directory) -> None:
@@ -151,7 +151,7 @@
 
 def test_worker_of_evacuated_data_centre_is_not_usable(directory) -> None:
     directory.evacuate(frozenset({"a"}), 5.0)
-    assert all(v.entry.data_centre == "b" for v in directory.usable("s", 5.0))
+    assert all(v.entry.data_centre == "b" for v in directory.known("s"))
 
 
 def test_worker_is_cold_when_evacuation_of_its_data_centre_ends(directory) -> None:
@@ -173,10 +173,10 @@
 
 
 def test_failed_worker_is_not_usable_until_backoff_ends(directory) -> None:
-    view = directory.known("s")[0]
+    view = choose(directory).view
     view.record_failure(10.0, 3.0, unreachable=True)
-    assert view not in directory.usable("s", 10.1)
-    assert view in directory.usable("s", view.backoff_until)
+    assert choose(directory, now=10.1).view is not view
+    assert choose(directory, now=view.backoff_until).view is view
     assert view.cold_until > view.backoff_until
 
 
--- a/testing/policies/test_worker_directory.py
+++ b/testing/policies/test_worker_directory.py
@@ -10,6 +10,11 @@
 from sycamorenotch_policies._worker_directory import MAX_DEPARTURES
 
 
+def usable(directory, now: float) -> tuple:
+    """Return the workers that the directory offers and that are not in backoff."""
+    return tuple(v for v in directory.known("s") if now >= v.backoff_until)
+
+
 def build_directory(*entries: WorkerEntry) -> WorkerDirectory:
     directory = WorkerDirectory(lambda data_centre: "west")
     directory.limits["s"] = ServiceLimits("s", cold_rate=4.0, cold_s=3.0)
@@ -79,7 +84,7 @@
     former = directory.get("w")
     directory.put(replace(entry("w"), incarnation=2), 1.0)
     assert directory.record_departure(former)
-    assert [view.entry.id for view in directory.usable("s", 1.0)] == ["w"]
+    assert [view.entry.id for view in usable(directory, 1.0)] == ["w"]
 
 
 def test_draining_holds_when_the_entry_goes_back_to_ready() -> None:
@@ -87,7 +92,7 @@
     directory.put(replace(entry("w"), draining=True), 1.0)
     directory.remove("w")
     directory.put(entry("w"), 2.0)
-    assert directory.usable("s", 2.0) == ()
+    assert usable(directory, 2.0) == ()
     assert "1 are draining" in directory.describe("s", 2.0)
 
 
@@ -98,7 +103,7 @@
         directory.remove(f"w-{number}")
     directory.put(entry("w-0"), 1.0)
     directory.put(entry("w-1"), 1.0)
-    assert [view.entry.id for view in directory.usable("s", 1.0)] == ["w-0"]
+    assert [view.entry.id for view in usable(directory, 1.0)] == ["w-0"]
 
 
 # A restored store shows the entries of workers that are gone as they were.
@@ -107,9 +112,9 @@
     directory.put(entry("w"), 0.0, revision=7)
     directory.remove("w", gone=True)
     directory.put(entry("w"), 1.0, revision=7)
-    assert directory.usable("s", 1.0) == ()
+    assert usable(directory, 1.0) == ()
     directory.put(entry("w"), 2.0, revision=9)
-    assert [view.entry.id for view in directory.usable("s", 2.0)] == ["w"]
+    assert [view.entry.id for view in usable(directory, 2.0)] == ["w"]
 
 
 def test_worker_that_started_again_is_back_whatever_its_revision() -> None:
@@ -117,4 +122,4 @@
     directory.put(entry("w"), 0.0, revision=7)
     directory.remove("w", gone=True)
     directory.put(replace(entry("w"), incarnation=2), 1.0, revision=7)
-    assert [view.entry.id for view in directory.usable("s", 1.0)] == ["w"]
+    assert [view.entry.id for view in usable(directory, 1.0)] == ["w"]
