Do not count a cancelled connection attempt as a worker's failure

Callers saw: ordinary requests were refused with 503 ("2 pause after failures, 2 may be cold after they could not be reached") after 40 clients that send GETs ahead and read nothing had left, 8 of 8 in a row over some 3 s.

Cause: the cancelled connector reported the disconnect, which it had itself ordered, as a failed connection. The attempt ended with an error in place of its cancellation, and each client that left marked its worker as unreachable.

Change: the result of the connection is failed with the cancellation before the connector is told to disconnect.

Evidence: the new test fails with ExchangeError before the change and passes after it.

--- a/packages/transport/src/sycamorenotch_transport/_http1_pool.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_pool.py
@@ -8,6 +8,7 @@
 from typing import Any
 from typing import final
 
+from twisted.internet.defer import CancelledError
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory
@@ -156,7 +157,12 @@
         return None
 
     def _open(self, connect_timeout_s: float) -> Deferred[ClientConnection]:
-        result: Deferred[ClientConnection] = Deferred(lambda _: connector.disconnect())
+        def cancel(result: Deferred[ClientConnection]) -> None:
+            # The factory would report the disconnect as a server that is unreachable.
+            result.errback(CancelledError())
+            connector.disconnect()
+
+        result: Deferred[ClientConnection] = Deferred(cancel)
         connector = self._reactor.connectTCP(
             self._host, self._port, _ConnectionFactory(result, self), connect_timeout_s
         )
--- a/testing/transport/test_http1_client.py
+++ b/testing/transport/test_http1_client.py
@@ -7,6 +7,8 @@
 from itertools import pairwise
 
 import pytest
+from twisted.internet import reactor
+from twisted.internet.defer import CancelledError
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.error import ConnectionLost
@@ -204,6 +206,20 @@
     assert transport.aborted
 
 
+def test_exchange_that_is_cancelled_while_connecting_is_no_failure_of_the_server(
+    run_in_reactor,
+) -> None:
+    # Clients that left made workers count as unreachable.
+    async def cancel() -> None:
+        pool = Http1Pool(reactor, "127.0.0.1:9", reactor.seconds)
+        exchange = Deferred.fromCoroutine(pool.exchange(REQUEST, 1.0))
+        exchange.cancel()
+        with pytest.raises(CancelledError):
+            await exchange
+
+    run_in_reactor(cancel())
+
+
 def test_body_is_sent_with_its_length(harness) -> None:
     harness.exchange(HttpRequest("POST", "/a", (("Host", "h"),), b"abc"))
     transport = harness.accept()
