Add crowds of clients that misbehave, for each way one

Cause: the tests of crowds knew clients that send ahead, read nothing, stop in their headers, send long bodies or stay silent. Bodies in tiny chunks, pauses in bodies, long framing, many header fields, resets, half-closed connections, crowds at the listeners for look-ups, readiness and metrics, and crowds during a reload, an outage of the store, a stop or beside slow workers had none.

Change: the crowd's play and its bounds stand once in crowds.py; each new test is a crowd. A crowd may demand an answer to the first ordinary request, which several tries hid. Clients may return when they are closed.

--- a/testing/platform/conftest.py
+++ b/testing/platform/conftest.py
@@ -207,3 +207,18 @@
         run_in_reactor(run_scenario())
 
     return run
+
+
+@pytest.fixture
+def run_crowd(run_in_reactor, tmp_path):
+    """Return a function that plays a crowd; see :class:`testing.platform.crowds.Crowd`.
+
+    Its ``machine`` are the arguments of the class, the others those of ``play``.
+    """
+    from testing.platform.crowds import Crowd
+
+    def run(enter, count: int, machine: dict[str, Any] | None = None, **play) -> None:
+        crowd = Crowd(tmp_path, **(machine or {}))
+        run_in_reactor(crowd.play(enter, count, **play))
+
+    return run
--- a/testing/platform/test_pipelining.py
+++ b/testing/platform/test_pipelining.py
@@ -33,7 +33,7 @@
     async def scenario(site) -> None:
         caller = Caller()
         host, _, port = site.gateway.addresses["callers"].rpartition(":")
-        reactor.connectTCP(host, int(port), CrowdFactory(caller))
+        reactor.connectTCP(host, int(port), CrowdFactory(lambda: caller))
         await site.wait_until(
             lambda: sum(len(worker.requests) for worker in site.workers) == REQUESTS
         )
