Parse the input of clients in turns of bounded length

Callers saw: no answer, and no answer to readiness probes, beside 20 clients that send bodies in chunks of one byte, also after these had left; the same beside crowds of mixed kinds during a reload of the settings and an outage of the store.

Cause: all input that had arrived on a connection was parsed in one turn of the loop. A chunk of six bytes takes some 15 us, so that 64 KiB of one client take a turn of 0.2 s and more, client after client, and what waits in the sockets goes on when they have left.

Change: ClientTurns, in the policies, divides each turn into parser steps. Input of a client that does not wait is parsed at once, up to 64 steps; the rest waits in one queue of all listeners, of which 256 steps are parsed in a turn. Passing on a request counts as 16 steps and a head by its fields. Reading pauses meanwhile. The framing of a body, which no limit counted, is bounded at 64 KiB and 64 bytes for each byte of the body.

--- a/packages/gateway/src/sycamorenotch_gateway/_clients.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from functools import partial
 from typing import Any
 from typing import ClassVar
 from typing import final
@@ -10,6 +11,7 @@
 from sycamorenotch_gateway._client_events import ClientsLimited
 from sycamorenotch_gateway._metrics import GatewayMetrics
 from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._turns import Turns
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_policies.client_memory import ByteKind
 from sycamorenotch_policies.client_memory import ClientAccount
@@ -18,6 +20,8 @@
 
 # A crowd is closed client by client; one line tells of all within this time.
 REPORT_INTERVAL_S = 5.0
+# Reason for turns of the loop in which the input of some clients had to wait.
+HELD_BACK = "held-back"
 
 
 @gateway_components.register("clients")
@@ -25,7 +29,7 @@
 class Clients:
     """Bounds and reports what the clients of all listeners for callers use."""
 
-    after: ClassVar[tuple[str, ...]] = ("metrics",)
+    after: ClassVar[tuple[str, ...]] = ("metrics", "turns")
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
@@ -38,6 +42,7 @@
         )
         limits = derive_client_limits(share, clients.max_bytes, clients.connections)
         self.account = ClientAccount(limits)
+        node.require(Turns).on_held_back = partial(self.record_eviction, HELD_BACK)
         self._unreported: Counter[str] = Counter()
         self._timer: Any = None
         self._metrics.measure_clients(self._measure)
--- a/packages/gateway/src/sycamorenotch_gateway/_front_end.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_front_end.py
@@ -17,6 +17,7 @@
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._peers import Peers
 from sycamorenotch_gateway._routes import Routes
+from sycamorenotch_gateway._turns import Turns
 from sycamorenotch_kernel import ErrorKind
 from sycamorenotch_kernel import ForwardingConfiguration
 from sycamorenotch_kernel import Ran
@@ -65,7 +66,7 @@
 class GatewayFrontEnd:
     """Serves callers, readiness probes, look-ups and metrics over HTTP."""
 
-    after: ClassVar[tuple[str, ...]] = ("forwarder", "peers", "clients")
+    after: ClassVar[tuple[str, ...]] = ("forwarder", "peers", "clients", "turns")
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
@@ -114,6 +115,7 @@
     def _create_server(
         self, name: str, handler: Handler, account: ClientAccount | None = None
     ) -> Http1Server:
+        turns = self._node.require(Turns)
         return Http1Server(
             self._node.reactor,
             handler,
@@ -123,6 +125,7 @@
             ),
             account=account,
             on_eviction=self._clients.record_eviction,
+            schedule=turns.schedule,
         )
 
     def _apply_limits(self, configuration: ForwardingConfiguration) -> None:
--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -22,6 +22,7 @@
 from sycamorenotch_gateway._topic_payloads import RELAYED_TOPICS
 from sycamorenotch_gateway._topic_payloads import decode_topic
 from sycamorenotch_gateway._topic_payloads import encode_topic
+from sycamorenotch_gateway._turns import Turns
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import PeerEntry
 from sycamorenotch_kernel import Position
@@ -88,7 +89,7 @@
 class Relay:
     """Serves topics to peers, and reads them from peers."""
 
-    after: ClassVar[tuple[str, ...]] = ()
+    after: ClassVar[tuple[str, ...]] = ("turns",)
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
@@ -100,6 +101,7 @@
             self._serve,
             lambda status, detail: HttpResponse(status),
             lambda detail: node.sink.emit(RequestRejected("relay", detail)),
+            schedule=node.require(Turns).schedule,
         )
         # Set by the components that know: peers that take requests, peers that live,
         # whether there are none, whether this instance is current with the store, and
--- a/packages/transport/src/sycamorenotch_transport/__init__.py
+++ b/packages/transport/src/sycamorenotch_transport/__init__.py
@@ -30,6 +30,7 @@
     from sycamorenotch_transport._resolver import install_literal_resolver
     from sycamorenotch_transport._response_buffers import ResponseBuffers
     from sycamorenotch_transport._response_buffers import ResponseLimits
+    from sycamorenotch_transport._turn_schedule import TurnSchedule
 
 # Modules are imported on first use, so that a gateway does not load the Twisted Web
 # listeners of the daemon, nor a daemon the HTTP/1.1 server of the gateway.
@@ -54,6 +55,7 @@
     "probe_address": "_probe",
     "ResponseMatch": "_http1_client",
     "ResponseLimits": "_response_buffers",
+    "TurnSchedule": "_turn_schedule",
     "get_header": "_http1_messages",
     "install_literal_resolver": "_resolver",
     "strip_hop_by_hop_headers": "_http1_messages",
@@ -79,6 +81,7 @@
     "ResponseBuffers",
     "ResponseLimits",
     "ResponseMatch",
+    "TurnSchedule",
     "get_header",
     "install_literal_resolver",
     "probe_address",
--- a/packages/transport/src/sycamorenotch_transport/_http1_connection.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_connection.py
@@ -35,6 +35,8 @@
 
 # Reading pauses while this many received bytes wait for the requests before them.
 READ_AHEAD_BYTES = 16_384
+# Parser steps that passing a request to the handler counts as.
+START_STEPS = 16
 
 
 @final
@@ -59,7 +61,8 @@
         self._timeout = ConnectionTimeout(server.call_later)
         # Bytes that the account has of received data that is not a body.
         self._received_bytes = 0
-        self._parse_scheduled = False
+        # Whether the input waits for a later turn of the loop.
+        self._waiting = False
         self._paused = False
         self._closing = False
 
@@ -82,9 +85,22 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parse the data, and pass on the next request if it may start."""
-        if not self._closing and not self._reader.ended:
-            self._reader.add(data)
-            self._parse()
+        if self._closing or self._reader.ended:
+            return
+        self._reader.add(data)
+        if self._waiting:
+            self._update_input()
+        else:
+            self._parse(self._server.schedule.client_steps)
+
+    def parse_turn(self, steps: int) -> int:
+        """Parse what waits for this turn of the loop.
+
+        :param steps: events of the parser that are handled at most.
+        :return: how many steps it took.
+        """
+        self._waiting = False
+        return 0 if self._closing else self._parse(steps)
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
         """Cancel the handlers of the requests in progress."""
@@ -134,6 +150,7 @@
         self._reader.end()
         self._output.discard()
         self._server.unread.discard(self)
+        self._server.schedule.discard(self)
         self._account.close(self._use)
         if self._reader.receiving is not None:
             self._release_body(self._reader.receiving)
@@ -144,14 +161,27 @@
             if exchange.fut is not None:
                 exchange.fut.cancel()
 
-    def _parse(self) -> None:
-        """Parse until a request has started, must wait, or needs more data."""
-        reader = self._reader
+    def _parse(self, steps: int) -> int:
+        """Parse until a request has started, must wait, or needs more data.
+
+        :return: how many of the steps it took.
+        """
+        reader, started = self._reader, len(self._started)
+        if reader.receiving is None and not self._may_read_next():
+            self._update_input()
+            return 0
         try:
-            if reader.receiving is not None or self._may_read_next():
-                self._handle(reader.read())
+            self._handle(reader.read(steps))
         except h11.RemoteProtocolError as exc:
             self._reject(exc.error_status_hint, str(exc))
+        if reader.interrupted and not reader.ended:
+            self._parse_soon()
+        self._update_input()
+        taken = steps - reader.steps_left
+        return taken + START_STEPS if len(self._started) > started else taken
+
+    def _update_input(self) -> None:
+        """Count the input, and pause or resume reading and the timeouts for it."""
         self._charge_received()
         self._update_timer()
         self._update_reading()
@@ -310,14 +340,9 @@
             self._reader.reuse(exchange)
 
     def _parse_soon(self) -> None:
-        if not self._parse_scheduled:
-            self._parse_scheduled = True
-            self._server.call_soon(self._parse_scheduled_input)
-
-    def _parse_scheduled_input(self) -> None:
-        self._parse_scheduled = False
-        if not self._closing:
-            self._parse()
+        if not self._waiting:
+            self._waiting = True
+            self._server.schedule.add(self)
 
     def _reject(self, status: int, detail: str) -> None:
         """Answer a malformed request in its turn, and close the connection."""
--- a/packages/transport/src/sycamorenotch_transport/_http1_exchange.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_exchange.py
@@ -28,8 +28,8 @@
     """
 
     __slots__ = (
-        *("body", "body_bytes", "complete", "followed", "fut", "head", "http"),
-        *("response", "waiting_bytes"),
+        *("body", "body_bytes", "chunked", "chunked_bytes", "complete", "followed"),
+        *("fut", "head", "http", "response", "waiting_bytes"),
     )
 
     def __init__(self, http: h11.Connection) -> None:
@@ -39,6 +39,9 @@
         self.body = BytesIO()
         # Size of the body while this connection or its handler holds it.
         self.body_bytes = 0
+        # Whether the body comes in chunks, and how many bytes of them the parser got.
+        self.chunked = False
+        self.chunked_bytes = 0
         self.complete = False
         # Whether the parser holds bytes of the requests behind this one.
         self.followed = False
@@ -61,6 +64,11 @@
         """Whether the client or the protocol version rules out another request."""
         return self.http.their_state in (h11.MUST_CLOSE, h11.CLOSED)
 
+    def start_body(self, head: h11.Request) -> None:
+        """Record the head, behind which the body follows."""
+        self.head = head
+        self.chunked = any(name == b"transfer-encoding" for name, _ in head.headers)
+
     def take_request(self) -> HttpRequest:
         """Return the complete request and release its body."""
         head = self.head
--- a/packages/transport/src/sycamorenotch_transport/_http1_reader.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable
 from typing import final
 
@@ -13,6 +14,14 @@
 # Bytes that a parser gets at once of a request that others may run beside; each parser
 # of a request in progress keeps the part of them that belongs to those behind it.
 PIPELINED_PIECE_BYTES = 4_096
+# Bytes that a parser gets at once of a chunked body, which may be thousands of chunks.
+CHUNKED_PIECE_BYTES = 16_384
+# Parser steps of a request's head, for each header field; a further one for the rest.
+STEPS_PER_FIELD = 0.25
+# Bytes of chunk headers, extensions and trailers of a body, beside a multiple of its
+# length. A body in chunks of one byte has five of them for each byte.
+FREE_FRAMING_BYTES = 65_536
+FRAMING_PER_BODY_BYTE = 64
 
 ReceiveBody = Callable[[Exchange, bytes | bytearray], bool]
 
@@ -38,6 +47,10 @@
         self._head_bytes = 0
         # No further request is read.
         self.ended = False
+        # Whether the last call of :meth:`read` stopped with more to read.
+        self.interrupted = False
+        # Steps that are left of it; a long head may take more.
+        self.steps_left = 0
 
     @property
     def pending(self) -> bool:
@@ -63,13 +76,16 @@
         self.ended = True
         self.input = b""
 
-    def read(self) -> Exchange | None:
+    def read(self, steps: int = sys.maxsize) -> Exchange | None:
         """Read on in the next request.
 
+        :param steps: events of the parser that are handled at most.
         :return: the next request if it is complete; it stays the next one until
             :meth:`take`.
         :raises h11.RemoteProtocolError: if the request is malformed.
         """
+        self.interrupted = False
+        self.steps_left = steps
         while not self.ended:
             exchange = self.receiving
             if exchange is None:
@@ -79,6 +95,9 @@
                 self._feed(exchange)
             if exchange.complete:
                 return exchange
+            if self.steps_left <= 0:
+                self.interrupted = True
+                return None
             if not self._read_event(exchange):
                 return None
         return None
@@ -109,8 +128,10 @@
         event = exchange.http.next_event()
         if event is h11.NEED_DATA:
             return self._feed(exchange)
+        self.steps_left -= 1
         if isinstance(event, h11.Request):
-            exchange.head = event
+            exchange.start_body(event)
+            self.steps_left -= int(len(event.headers) * STEPS_PER_FIELD)
             self._head_bytes = 0
         elif isinstance(event, h11.Data):
             return self._receive_body(exchange, event.data)
@@ -126,13 +147,24 @@
         """Give the parser input.
 
         :return: whether there was any.
+        :raises h11.RemoteProtocolError: if the framing of a body exceeds its limit.
         """
         if not self.input:
             return False
-        small = exchange.head is None or exchange.head.method in SAFE_METHODS
-        size = PIPELINED_PIECE_BYTES if small else len(self.input)
+        if exchange.head is None or exchange.head.method in SAFE_METHODS:
+            size = PIPELINED_PIECE_BYTES
+        elif exchange.chunked:
+            size = CHUNKED_PIECE_BYTES
+        else:
+            size = len(self.input)
         piece, self.input = self.input[:size], self.input[size:]
         if exchange.head is None:
             self._head_bytes += len(piece)
+        elif exchange.chunked:
+            exchange.chunked_bytes += len(piece)
+            allowed = FREE_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * exchange.body_bytes
+            if exchange.chunked_bytes - exchange.body_bytes > allowed:
+                detail = "the framing of the request body takes too many bytes"
+                raise h11.RemoteProtocolError(detail)
         exchange.http.receive_data(piece)
         return True
--- a/packages/transport/src/sycamorenotch_transport/_http1_server.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_server.py
@@ -17,6 +17,7 @@
 from sycamorenotch_transport._http1_messages import HttpRequest
 from sycamorenotch_transport._http1_messages import HttpResponse
 from sycamorenotch_transport._http1_unread import UnreadWatch
+from sycamorenotch_transport._turn_schedule import TurnSchedule
 
 # Connections that the listener accepts in one turn of the loop. Twisted would raise
 # this without bound, and adds at most 20 now. Those that are closed in exchange for
@@ -45,6 +46,8 @@
     :param account: memory of the clients; by default it is not bounded.
     :param on_eviction: receives the reason when a client is closed, or its request
         refused, because of what clients use.
+    :param schedule: turns in which clients are parsed, shared with other servers; by
+        default all clients are parsed in every turn.
     """
 
     noisy = False
@@ -58,6 +61,7 @@
         http_limits: HttpLimits | None = None,
         account: ClientAccount | None = None,
         on_eviction: Callable[[str], None] = ignore_eviction,
+        schedule: TurnSchedule | None = None,
     ) -> None:
         self._reactor = reactor
         self.handler = handler
@@ -66,6 +70,7 @@
         self.http_limits = HttpLimits() if http_limits is None else http_limits
         self.account = UnlimitedAccount() if account is None else account
         self.on_eviction = on_eviction
+        self.schedule = TurnSchedule(reactor) if schedule is None else schedule
         self.unread = UnreadWatch(reactor, lambda: self.http_limits.unread_timeout_s)
         self.connections: set[ServerConnection] = set()
         self.total_body_bytes = 0
@@ -126,7 +131,3 @@
     def call_later(self, delay_s: float, function: Callable[[], None]) -> Any:
         """Schedule a function after a delay and return its timer."""
         return self._reactor.callLater(delay_s, function)
-
-    def call_soon(self, function: Callable[[], None]) -> None:
-        """Schedule a function for the next iteration of the reactor."""
-        self._reactor.callLater(0, function)
--- a/testing/gateway/test_clients.py
+++ b/testing/gateway/test_clients.py
@@ -16,6 +16,7 @@
 from sycamorenotch_gateway._clients import REPORT_INTERVAL_S
 from sycamorenotch_gateway._clients import Clients
 from sycamorenotch_gateway._metrics import GatewayMetrics
+from sycamorenotch_gateway._turns import Turns
 from sycamorenotch_kernel import EventList
 
 
@@ -46,6 +47,7 @@
         processor_clock=lambda: 0.0,
     )
     node.provide(GatewayMetrics, metrics)
+    Turns(node)
     return Clients(node), clock, sink, metrics
 
 
--- a/testing/gateway/test_follower.py
+++ b/testing/gateway/test_follower.py
@@ -19,6 +19,7 @@
 from sycamorenotch_gateway._relay import PollFailure
 from sycamorenotch_gateway._relay import Relay
 from sycamorenotch_gateway._sources import Sources
+from sycamorenotch_gateway._turns import Turns
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import EventList
 from sycamorenotch_kernel import FeedError
@@ -88,6 +89,7 @@
             processor_clock=lambda: 0.0,
             boot_clock=self.reactor.seconds,
         )
+        Turns(node)
         relay = Relay(node)
         relay.live = lambda: tuple(
             PeerEntry(member, "west", "a", "", f"{member}:1", 1, False)
--- a/testing/transport/test_client_limits.py
+++ b/testing/transport/test_client_limits.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+from typing import Any
+
 import pytest
 from testing.transport.test_http1_server import GET
 from testing.transport.test_http1_server import POST
@@ -9,11 +12,16 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
+from sycamorenotch_policies.client_turns import ClientTurns
+from sycamorenotch_policies.client_turns import TurnLimits
 from sycamorenotch_transport import HttpLimits
 from sycamorenotch_transport import HttpResponse
+from sycamorenotch_transport import TurnSchedule
 from sycamorenotch_transport._http1_reader import PIPELINED_PIECE_BYTES
 
 LARGE = bytes(200_000)
+CHUNKED = b"POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+TURN_STEPS = 8
 
 
 class Account:
@@ -49,11 +57,14 @@
 class LimitedHarness(Harness):
     """A server with an account, whose client reads when it is told to."""
 
-    def __init__(self, http_limits: HttpLimits | None = None) -> None:
+    def __init__(self, http_limits: HttpLimits | None = None, **options: Any) -> None:
         self.account = Account()
         self.evictions: list[str] = []
         super().__init__(
-            http_limits, account=self.account, on_eviction=self.evictions.append
+            http_limits,
+            account=self.account,
+            on_eviction=self.evictions.append,
+            **options,
         )
 
     def read(self) -> None:
@@ -62,6 +73,11 @@
         self.clock.pump([0] * 3)
 
 
+def build_schedule(harness: Harness) -> TurnSchedule:
+    limits = TurnLimits(client=TURN_STEPS, total=TURN_STEPS)
+    return TurnSchedule(harness.clock, ClientTurns(limits))
+
+
 @pytest.fixture
 def harness() -> LimitedHarness:
     return LimitedHarness()
@@ -203,6 +219,40 @@
     assert sum(call.func == harness.server.unread._check for call in calls) == 1
 
 
+def test_tiny_chunks_are_parsed_in_several_turns(harness) -> None:
+    # One turn of the loop parsed all that had arrived.
+    harness.server.schedule = build_schedule(harness)
+    harness.send(CHUNKED + b"1\r\nx\r\n" * 100 + b"0\r\n\r\n")
+    sizes = []
+    while not harness.requests:
+        sizes.append(harness.account.bytes[1])
+        harness.clock.advance(0)
+    steps = [after - before for before, after in pairwise([0, *sizes])]
+    assert max(steps) <= TURN_STEPS
+    assert harness.requests[0].body == b"x" * 100
+    assert not harness.clock.getDelayedCalls()
+
+
+def test_input_that_waits_for_its_turn_is_bounded(harness) -> None:
+    harness.server.schedule = build_schedule(harness)
+    harness.send(CHUNKED + b"1\r\nx\r\n" * 20_000)
+    assert harness.transport.producerState == "paused"
+    harness.connection.connectionLost(Failure(ConnectionDone()))
+    harness.clock.advance(0)
+    assert not harness.clock.getDelayedCalls()
+
+
+@pytest.mark.parametrize("chunk", [b"1;" + b"x" * 6_000, b"0" * 12_000])
+def test_framing_of_a_body_is_bounded(harness, chunk) -> None:
+    # Extensions of chunks were received without end, as they are no part of the body.
+    harness.send(CHUNKED)
+    for _ in range(20):
+        harness.send(chunk + b"\r\nx\r\n")
+        harness.clock.advance(0)
+    assert harness.written.startswith(b"HTTP/1.1 4")
+    assert harness.transport.disconnecting
+
+
 def test_unfinished_headers_are_counted(harness) -> None:
     harness.send(GET[:20])
     assert harness.account.bytes[0] == 20
