Close bodies that pause, and count the kinds of bytes as the server names them

Callers saw: no new connection was served for as long as some 200 clients paused in their bodies, and these were never closed.

Cause: the server passed kinds of bytes as plain numbers, and the account compared them by identity with members of an enumeration. No branch was taken: bodies had no limit of their own, and no client counted as sending one. Unit tests passed members. Besides, the body charged last gave way, which may be an ordinary one, and a connection with a begun body was never closed for a new one.

Change: the interface has one method for each kind, so that no kind is passed and the type checker sees both sides. When memory is short, the largest body without progress for 2 s gives way first, and without a long body the largest client. Beyond the limit of connections those that pause come before idle ones. A body without progress for [clients] body_pause (30 s, at least twice the idle timeout) is answered with 408. Reason "paused" in clients.limited and its counter.

A new test runs the server with the account of the policies.

--- a/packages/gateway/src/sycamorenotch_gateway/_clients.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_clients.py
@@ -41,7 +41,7 @@
             node.response_buffers.limits.buffered_bytes,
         )
         limits = derive_client_limits(share, clients.max_bytes, clients.connections)
-        self.account = ClientAccount(limits)
+        self.account = ClientAccount(limits, node.clock)
         node.require(Turns).on_held_back = partial(self.record_eviction, HELD_BACK)
         self._unreported: Counter[str] = Counter()
         self._timer: Any = None
--- a/packages/gateway/src/sycamorenotch_gateway/_front_end.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_front_end.py
@@ -139,6 +139,7 @@
             self._clients.account.limits.total_bytes,
             clients.pipelined_requests,
             clients.unread_timeout.total_seconds(),
+            max(clients.body_pause.total_seconds(), 2 * limits.idle_timeout_s),
         )
 
     def _encode_error(self, status: int, detail: str) -> HttpResponse:
--- a/packages/gateway/src/sycamorenotch_gateway/_settings.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_settings.py
@@ -178,6 +178,8 @@
         time.
     :param unread_timeout: time after which a client is closed that leaves responses
         unread and reads nothing.
+    :param body_pause: time after which a request is refused whose body makes no
+        progress; it may take twice as long.
     :param connections: open connections of all clients; 0 derives the limit from the
         machine's descriptors.
     :param max_bytes: bytes held for all clients together; 0 derives the limit from the
@@ -186,6 +188,7 @@
 
     pipelined_requests: Annotated[int, Field(gt=0)] = 32
     unread_timeout: Duration = timedelta(seconds=10)
+    body_pause: Duration = timedelta(seconds=30)
     connections: Annotated[int, Field(ge=0)] = 0
     max_bytes: Annotated[int, Field(ge=0)] = 0
 
--- a/packages/policies/src/sycamorenotch_policies/client_memory/_account.py
+++ b/packages/policies/src/sycamorenotch_policies/client_memory/_account.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterable
 from typing import final
 
 from sycamorenotch_policies.client_memory._limits import ClientLimits
@@ -20,6 +22,8 @@
 BODY_PART = 0.9
 # Shorter bodies are not refused in favour of longer ones that were there before.
 LONG_BODY_BYTES = 65_536
+# Time without progress after which a body gives way to others when memory is short.
+PAUSED_AFTER_S = 2.0
 # Requests that are sent ahead start only below this part of the limits. The rest is for
 # clients with nothing in progress.
 AHEAD_PART = 0.75
@@ -30,13 +34,15 @@
     """Bounds what all clients together use.
 
     Beyond the total, those are closed first that leave responses unread, then those
-    that sent the most ahead, then the newest.
+    that sent the most ahead, then those that paused in a body, then the newest.
 
     :param limits: limits on all clients together.
+    :param clock: returns the monotonic time in seconds.
     """
 
-    def __init__(self, limits: ClientLimits) -> None:
+    def __init__(self, limits: ClientLimits, clock: Callable[[], float]) -> None:
         self.limits = limits
+        self._clock = clock
         self.used_bytes = 0
         self.requests = 0
         self.totals = [0] * len(ByteKind)
@@ -77,20 +83,33 @@
         ):
             group.pop(use, None)
 
+    def charge_received(self, use: ClientUse, size: int) -> None:
+        """Count input that no request has taken, or release it if negative."""
+        self.charge(use, ByteKind.RECEIVED, size)
+
+    def charge_body(self, use: ClientUse, size: int) -> None:
+        """Count bytes of a request body, or release them if negative."""
+        self.charge(use, ByteKind.BODY, size)
+
+    def charge_response(self, use: ClientUse, size: int) -> None:
+        """Count bytes of responses, or release them if negative."""
+        self.charge(use, ByteKind.RESPONSE, size)
+
     def charge(self, use: ClientUse, kind: ByteKind, size: int) -> None:
         """Count bytes, or release them if negative; this may evict any client."""
         if use not in self._uses:
             return
         self._add(use, kind, size)
-        if kind is ByteKind.RECEIVED:
+        if kind == ByteKind.RECEIVED:
             self._update_ahead(use)
-        elif kind is ByteKind.BODY and size > 0:
+        elif kind == ByteKind.BODY and size > 0:
+            use.body_at = self._clock()
             self._sending_bodies.setdefault(use)
             self._never_served.pop(use, None)
             self._idle.pop(use, None)
         total = self.limits.total_bytes
         full = self.used_bytes > total or (
-            kind is ByteKind.BODY and self.totals[kind] > total * BODY_PART
+            kind == ByteKind.BODY and self.totals[kind] > total * BODY_PART
         )
         if size > 0 and full:
             self._relieve(use)
@@ -160,15 +179,34 @@
         """Evict clients until the total holds again; ``use`` was charged last."""
         target = int(self.limits.total_bytes * RELIEVED_PART)
         while self.used_bytes > target and self._uses:
-            newest = self._newest_long_body() or use
-            victim = self._choose_greedy()
+            victim = self._choose_body(use)
+            greedy = self._choose_greedy()
             # Closing clients that sent little ahead would not make room for a body.
-            if victim is None or newest.sizes[ByteKind.BODY] > victim[0].greedy_bytes:
-                victim = newest, EvictionReason.MEMORY
+            if greedy and victim[0].sizes[ByteKind.BODY] <= greedy[0].greedy_bytes:
+                victim = greedy
             self._evict(*victim)
             if victim[0] is use:
                 return
 
+    def _choose_body(self, use: ClientUse) -> tuple[ClientUse, EvictionReason]:
+        """Return the client whose body gives way, or ``use`` if none is larger.
+
+        Bodies that were accepted first must be able to finish if they make progress.
+        """
+        paused = max(self._paused_bodies(), key=_body_bytes, default=None)
+        if paused is not None:
+            return paused, EvictionReason.PAUSED
+        body = self._newest_long_body()
+        if body is None:
+            body = max(self._sending_bodies, key=_body_bytes, default=use)
+            body = max(use, body, key=lambda client: client.total_bytes)
+        return body, EvictionReason.MEMORY
+
+    def _paused_bodies(self) -> list[ClientUse]:
+        """Return the clients that have sent nothing of their bodies for a time."""
+        limit = self._clock() - PAUSED_AFTER_S
+        return [use for use in self._sending_bodies if use.body_at <= limit]
+
     def _newest_long_body(self) -> ClientUse | None:
         return next(
             (
@@ -194,9 +232,22 @@
         """Return the connection to close when there are too many.
 
         Connections without a request in progress are closed before those with one, and
-        those that read a response after those that have read all.
+        those that read a response after those that have read all. Last come those that
+        send a body, beginning with the one that was silent longest.
         """
         done = (use for use in self._idle if not use.sizes[ByteKind.RESPONSE])
-        groups = (self._stalled, self._never_served, done, self._idle)
+        silent = (min(self._sending_bodies, key=_body_at, default=newest),)
+        groups: tuple[Iterable[ClientUse], ...] = (
+            *(self._stalled, self._never_served, self._paused_bodies()),
+            *(done, self._idle, silent),
+        )
         first = (next(iter(group), newest) for group in groups)
         return next((use for use in first if use is not newest), newest)
+
+
+def _body_bytes(use: ClientUse) -> int:
+    return use.sizes[ByteKind.BODY]
+
+
+def _body_at(use: ClientUse) -> float:
+    return use.body_at
--- a/packages/policies/src/sycamorenotch_policies/client_memory/_use.py
+++ b/packages/policies/src/sycamorenotch_policies/client_memory/_use.py
@@ -33,6 +33,7 @@
 
     UNREAD = "unread"
     SENT_AHEAD = "sent-ahead"
+    PAUSED = "paused"
     MEMORY = "memory"
     CONNECTIONS = "connections"
 
@@ -53,11 +54,18 @@
     :param client: the connection.
     :ivar sizes: bytes by kind.
     :ivar requests: requests in progress.
+    :ivar body_at: when the last bytes of a body were counted, on the clock.
     """
 
     client: EvictableClient
     sizes: list[int] = field(default_factory=lambda: [0] * len(ByteKind))
     requests: int = 0
+    body_at: float = 0.0
+
+    @property
+    def total_bytes(self) -> int:
+        """Bytes of all kinds."""
+        return sum(self.sizes)
 
     @property
     def greedy_bytes(self) -> int:
--- a/packages/transport/src/sycamorenotch_transport/_client_account.py
+++ b/packages/transport/src/sycamorenotch_transport/_client_account.py
@@ -6,13 +6,10 @@
 from typing import Protocol
 from typing import final
 
-# Kinds of bytes, as the account numbers them.
-RECEIVED = 0
-BODY = 1
-RESPONSE = 2
 # What the server itself decides: to close a client that reads nothing, and to refuse a
-# request that the account has no room for.
+# request whose body pauses for too long or that the account has no room for.
 UNREAD = "unread"
+PAUSED = "paused"
 REFUSED = "refused"
 
 
@@ -39,8 +36,16 @@
         """Forget a connection with all its bytes and requests."""
         ...
 
-    def charge(self, use: Any, kind: Any, size: int) -> None:
-        """Count bytes of a kind, or release them if the size is negative."""
+    def charge_received(self, use: Any, size: int) -> None:
+        """Count input that no request has taken, or release it if negative."""
+        ...
+
+    def charge_body(self, use: Any, size: int) -> None:
+        """Count bytes of a request body, or release them if negative."""
+        ...
+
+    def charge_response(self, use: Any, size: int) -> None:
+        """Count bytes of responses, or release them if negative."""
         ...
 
     def start(self, use: Any) -> bool:
@@ -66,7 +71,13 @@
     def close(self, use: None) -> None:
         """Count nothing."""
 
-    def charge(self, use: None, kind: int, size: int) -> None:
+    def charge_received(self, use: None, size: int) -> None:
+        """Count nothing."""
+
+    def charge_body(self, use: None, size: int) -> None:
+        """Count nothing."""
+
+    def charge_response(self, use: None, size: int) -> None:
         """Count nothing."""
 
     def start(self, use: None) -> bool:
--- a/packages/transport/src/sycamorenotch_transport/_http1_connection.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_connection.py
@@ -16,10 +16,8 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from sycamorenotch_transport._client_account import BODY
-from sycamorenotch_transport._client_account import RECEIVED
+from sycamorenotch_transport._client_account import PAUSED
 from sycamorenotch_transport._client_account import REFUSED
-from sycamorenotch_transport._client_account import RESPONSE
 from sycamorenotch_transport._client_account import UNREAD
 from sycamorenotch_transport._http1_exchange import Exchange
 from sycamorenotch_transport._http1_messages import HttpResponse
@@ -61,6 +59,8 @@
         self._timeout = ConnectionTimeout(server.call_later)
         # Bytes that the account has of received data that is not a body.
         self._received_bytes = 0
+        # Whether the body made progress since its timeout began.
+        self._body_progress = False
         # Whether the input waits for a later turn of the loop.
         self._waiting = False
         self._paused = False
@@ -207,10 +207,11 @@
         if server.total_body_bytes + size > server.http_limits.buffered_bytes:
             self._reject(503, "the buffers for request bodies are full")
             return False
+        self._body_progress = True
         exchange.body.write(data)
         server.total_body_bytes += size
         exchange.body_bytes += size
-        self._account.charge(self._use, BODY, size)
+        self._account.charge_body(self._use, size)
         return not self._closing
 
     def _may_read_next(self) -> bool:
@@ -280,7 +281,7 @@
             self._send_responses()
         else:
             exchange.waiting_bytes = len(response.body)
-            self._account.charge(self._use, RESPONSE, exchange.waiting_bytes)
+            self._account.charge_response(self._use, exchange.waiting_bytes)
         self._go_on()
 
     def _send_responses(self) -> None:
@@ -300,7 +301,7 @@
 
     def _on_sent(self, size: int) -> None:
         """Go on after the transport has sent all that it had."""
-        self._account.charge(self._use, RESPONSE, -size)
+        self._account.charge_response(self._use, -size)
         if not self._output.size:
             self._server.unread.discard(self)
         self._send_responses()
@@ -314,7 +315,7 @@
         size = sum(map(len, parts))
         self._output.write(parts)
         self._server.unread.add(self)
-        self._account.charge(self._use, RESPONSE, size - waiting_bytes)
+        self._account.charge_response(self._use, size - waiting_bytes)
 
     def _send_first(self) -> None:
         """Send the first response, and close if no other request may follow."""
@@ -368,11 +369,21 @@
     def _on_head_timeout(self) -> None:
         self._reject(408, "the request headers were not received in time")
 
+    def _on_body_timeout(self) -> None:
+        """Refuse the request if nothing of its body came since the timeout began."""
+        self._timeout.cancel()
+        if self._body_progress:
+            self._body_progress = False
+            self._update_timer()
+        else:
+            self._server.on_eviction(PAUSED)
+            self._reject(408, "the request body paused for too long")
+
     def _release_body(self, exchange: Exchange) -> None:
         if not exchange.body_bytes:
             return
         self._server.total_body_bytes -= exchange.body_bytes
-        self._account.charge(self._use, BODY, -exchange.body_bytes)
+        self._account.charge_body(self._use, -exchange.body_bytes)
         exchange.body_bytes = 0
         exchange.body = BytesIO()
 
@@ -381,7 +392,7 @@
         size = 0 if self._closing else self._reader.pending_bytes
         added, self._received_bytes = size - self._received_bytes, size
         if added:
-            self._account.charge(self._use, RECEIVED, added)
+            self._account.charge_received(self._use, added)
 
     def _update_reading(self) -> None:
         """Pause reading while much input waits for the requests before it."""
@@ -404,8 +415,8 @@
         elif self.idle:
             self._timeout.start(limits.idle_timeout_s, self.close)
         elif self._reader.receiving_body:
-            # No timeout applies to the body: a caller may send it slowly.
-            self._timeout.cancel()
+            # A caller may send the body slowly, but not pause for ever.
+            self._timeout.start(limits.body_pause_s, self._on_body_timeout)
         else:
             self._timeout.start(limits.header_timeout_s, self._on_head_timeout)
 
--- a/packages/transport/src/sycamorenotch_transport/_http1_messages.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_messages.py
@@ -67,6 +67,8 @@
         handled at the same time.
     :param unread_timeout_s: time after which a client is closed that leaves responses
         unread and reads nothing.
+    :param body_pause_s: time after which a request is refused whose body makes no
+        progress; it may take twice as long.
     """
 
     header_bytes: int = 16_384
@@ -76,6 +78,7 @@
     buffered_bytes: int = 67_108_864
     pipelined_requests: int = 32
     unread_timeout_s: float = 10.0
+    body_pause_s: float = 30.0
 
 
 def get_header(headers: HeaderPairs, name: str) -> str:
--- a/testing/policies/test_client_memory.py
+++ b/testing/policies/test_client_memory.py
@@ -9,6 +9,7 @@
 from sycamorenotch_policies.client_memory import ClientLimits
 from sycamorenotch_policies.client_memory import MachineShare
 from sycamorenotch_policies.client_memory import derive_client_limits
+from sycamorenotch_policies.client_memory._account import PAUSED_AFTER_S
 
 MEBIBYTE = 1_048_576
 
@@ -17,7 +18,9 @@
     """Clients of one account, and the reasons why some were evicted."""
 
     def __init__(self, connections: int = 100, requests: int = 100) -> None:
-        self.account = ClientAccount(ClientLimits(MEBIBYTE, connections, requests))
+        self.now = 0.0
+        limits = ClientLimits(MEBIBYTE, connections, requests)
+        self.account = ClientAccount(limits, lambda: self.now)
         self.evicted: list[tuple[str, str]] = []
 
     def open(self, name: str):
@@ -82,6 +85,38 @@
     assert clients.evicted == [("slow", "memory")]
 
 
+def test_body_that_pauses_gives_way_to_one_that_makes_progress() -> None:
+    # Clients that pause for ever must not keep the memory from all others.
+    clients = Clients()
+    paused, sending = clients.open("paused"), clients.open("sending")
+    clients.account.charge(paused, ByteKind.BODY, 60_000)
+    clients.account.charge(sending, ByteKind.BODY, 500_000)
+    clients.now = PAUSED_AFTER_S
+    clients.account.charge(sending, ByteKind.BODY, 400_000)
+    assert clients.evicted == [("paused", "paused")]
+
+
+def test_large_body_below_the_long_ones_gives_way_to_a_short_one() -> None:
+    # None of these bodies is long, so that the one that was charged last was refused.
+    clients = Clients()
+    for number in range(15):
+        use = clients.open(f"slow {number}")
+        clients.account.charge(use, ByteKind.BODY, 62_000)
+    clients.account.charge(clients.open("short"), ByteKind.BODY, 20_000)
+    assert {reason for _, reason in clients.evicted} == {"memory"}
+    assert all(name.startswith("slow") for name, _ in clients.evicted)
+
+
+def test_connection_that_pauses_in_its_body_is_closed_for_a_new_one() -> None:
+    # A body that had begun kept its connection, so that nobody else was accepted.
+    clients = Clients(connections=2)
+    for name in ("first", "second"):
+        clients.account.charge(clients.open(name), ByteKind.BODY, 1)
+        clients.now += 1
+    clients.open("new")
+    assert clients.evicted == [("first", "connections")]
+
+
 def test_bodies_leave_room_for_requests_without_one() -> None:
     clients = Clients()
     body, ordinary = clients.open("body"), clients.open("ordinary")
--- a/testing/transport/test_client_limits.py
+++ b/testing/transport/test_client_limits.py
@@ -12,6 +12,9 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
+from sycamorenotch_policies.client_memory import ByteKind
+from sycamorenotch_policies.client_memory import ClientAccount
+from sycamorenotch_policies.client_memory import ClientLimits
 from sycamorenotch_policies.client_turns import ClientTurns
 from sycamorenotch_policies.client_turns import TurnLimits
 from sycamorenotch_transport import HttpLimits
@@ -40,8 +43,14 @@
     def close(self, use: object) -> None:
         self.open_uses.discard(use)
 
-    def charge(self, use: object, kind: int, size: int) -> None:
-        self.bytes[kind] += size
+    def charge_received(self, use: object, size: int) -> None:
+        self.bytes[0] += size
+
+    def charge_body(self, use: object, size: int) -> None:
+        self.bytes[1] += size
+
+    def charge_response(self, use: object, size: int) -> None:
+        self.bytes[2] += size
 
     def start(self, use: object) -> bool:
         self.running += self.grants
@@ -192,6 +201,40 @@
     assert harness.account.bytes[1] == 0
 
 
+def test_account_of_the_policies_takes_the_bytes_of_the_server_by_kind() -> None:
+    # Plain numbers were compared by identity with the members of an enumeration, so
+    # that bodies had no limit of their own and no client counted as sending one.
+    account = ClientAccount(ClientLimits(100_000, 10, 10), lambda: 0.0)
+    harness = Harness(account=account)
+    head = b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 99999\r\n\r\n"
+    harness.send(head + bytes(80_000))
+    assert account.totals[ByteKind.BODY] >= 80_000
+    harness.send(bytes(11_000))
+    assert harness.written.startswith(b"HTTP/1.1 503")
+    assert account.totals[ByteKind.BODY] == 0
+
+
+def test_body_that_pauses_for_too_long_is_refused(harness) -> None:
+    # Its memory and its connection were held for as long as the client stayed.
+    harness.send(POST[:-1])
+    pause_s = harness.server.http_limits.body_pause_s
+    harness.clock.pump([pause_s, pause_s - 1])
+    assert harness.written == b""
+    harness.clock.advance(1)
+    assert harness.written.startswith(b"HTTP/1.1 408")
+    assert harness.transport.disconnecting
+    assert harness.evictions == ["paused"]
+    assert harness.account.bytes[:2] == [0, 0]
+
+
+def test_body_that_makes_progress_has_no_timeout(harness) -> None:
+    harness.send(POST.replace(b"2", b"20")[:-2])
+    for _ in range(20):
+        harness.send(b"a")
+        harness.clock.advance(harness.server.http_limits.body_pause_s - 1)
+    assert len(harness.requests) == 1
+
+
 def test_pipelined_requests_with_bodies_keep_little_of_those_behind_them(
     harness,
 ) -> None:
