Keep the process within its machine's memory, whatever the heap adds

Cause: the account counted the bytes of bodies and not what holds them. A buffer that grows reserves an eighth more, and buffers that grow side by side leave gaps in the heap, which belong to no client.

Change: a body counts with what its buffer reserves. ResidentLimit reads the resident memory whenever 1/32 of the limit has been charged, and lowers the limit to what fits below 95% of the machine's memory, an eighth of it at least.

--- a/packages/gateway/src/sycamorenotch_gateway/_clients.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_clients.py
@@ -11,15 +11,21 @@
 from sycamorenotch_gateway._client_events import ClientsLimited
 from sycamorenotch_gateway._metrics import GatewayMetrics
 from sycamorenotch_gateway._node import GatewayNode
+from sycamorenotch_gateway._process_memory import SystemMemory
 from sycamorenotch_gateway._turns import Turns
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_policies.client_memory import ByteKind
 from sycamorenotch_policies.client_memory import ClientAccount
 from sycamorenotch_policies.client_memory import MachineShare
+from sycamorenotch_policies.client_memory import ResidentLimit
 from sycamorenotch_policies.client_memory import derive_client_limits
 
 # A crowd is closed client by client; one line tells of all within this time.
 REPORT_INTERVAL_S = 5.0
+BYTES_PER_MB = 1_000_000
+# Part of the machine's memory that the process may use. The rest is for what is
+# allocated between two readings of its resident memory.
+USABLE_MEMORY = 0.95
 # Reason for turns of the loop in which the input of some clients had to wait.
 HELD_BACK = "held-back"
 
@@ -41,7 +47,9 @@
             node.response_buffers.limits.buffered_bytes,
         )
         limits = derive_client_limits(share, clients.max_bytes, clients.connections)
-        self.account = ClientAccount(limits, node.clock)
+        ceiling_bytes = int(machine.memory_mb * BYTES_PER_MB * USABLE_MEMORY)
+        resident = ResidentLimit(limits.total_bytes, ceiling_bytes, SystemMemory())
+        self.account = ClientAccount(limits, node.clock, resident)
         node.require(Turns).on_held_back = partial(self.record_eviction, HELD_BACK)
         self._unreported: Counter[str] = Counter()
         self._timer: Any = None
@@ -80,7 +88,7 @@
             ClientsLimited(
                 text,
                 account.used_bytes,
-                account.limits.total_bytes,
+                account.total_bytes,
                 account.connections,
                 account.requests,
             )
--- a/packages/policies/src/sycamorenotch_policies/client_memory/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/client_memory/__init__.py
@@ -9,6 +9,8 @@
 from sycamorenotch_policies.client_memory._limits import ClientLimits
 from sycamorenotch_policies.client_memory._limits import MachineShare
 from sycamorenotch_policies.client_memory._limits import derive_client_limits
+from sycamorenotch_policies.client_memory._resident import ProcessMemory
+from sycamorenotch_policies.client_memory._resident import ResidentLimit
 from sycamorenotch_policies.client_memory._use import ByteKind
 from sycamorenotch_policies.client_memory._use import ClientUse
 from sycamorenotch_policies.client_memory._use import EvictionReason
@@ -20,5 +22,7 @@
     "ClientUse",
     "EvictionReason",
     "MachineShare",
+    "ProcessMemory",
+    "ResidentLimit",
     "derive_client_limits",
 ]
--- a/packages/policies/src/sycamorenotch_policies/client_memory/_account.py
+++ b/packages/policies/src/sycamorenotch_policies/client_memory/_account.py
@@ -7,6 +7,7 @@
 from typing import final
 
 from sycamorenotch_policies.client_memory._limits import ClientLimits
+from sycamorenotch_policies.client_memory._resident import ResidentLimit
 from sycamorenotch_policies.client_memory._use import CONNECTION_BYTES
 from sycamorenotch_policies.client_memory._use import ByteKind
 from sycamorenotch_policies.client_memory._use import ClientUse
@@ -38,10 +39,18 @@
 
     :param limits: limits on all clients together.
     :param clock: returns the monotonic time in seconds.
+    :param resident: lowers the limit on bytes while the process holds more memory than
+        is counted; without it, that limit is fixed.
     """
 
-    def __init__(self, limits: ClientLimits, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        limits: ClientLimits,
+        clock: Callable[[], float],
+        resident: ResidentLimit | None = None,
+    ) -> None:
         self.limits = limits
+        self._resident = resident
         self._clock = clock
         self.used_bytes = 0
         self.requests = 0
@@ -55,6 +64,12 @@
         self._ahead: dict[ClientUse, None] = {}
         self._sending_bodies: dict[ClientUse, None] = {}
 
+    @property
+    def total_bytes(self) -> int:
+        """Limit on the bytes of all clients now."""
+        resident = self._resident
+        return self.limits.total_bytes if resident is None else resident.total_bytes
+
     @property
     def connections(self) -> int:
         """Number of open connections."""
@@ -107,7 +122,7 @@
             self._sending_bodies.setdefault(use)
             self._never_served.pop(use, None)
             self._idle.pop(use, None)
-        total = self.limits.total_bytes
+        total = self.total_bytes
         full = self.used_bytes > total or (
             kind == ByteKind.BODY and self.totals[kind] > total * BODY_PART
         )
@@ -127,7 +142,7 @@
         part = AHEAD_PART if use.requests else 1.0
         if self.requests >= limits.requests * part:
             return False
-        while self.used_bytes + size > limits.total_bytes * part:
+        while self.used_bytes + size > self.total_bytes * part:
             victim = None if use.requests else self._choose_greedy()
             if victim is None or victim[0] is use:
                 return False
@@ -169,6 +184,8 @@
         use.sizes[kind] += size
         self.totals[kind] += size
         self.used_bytes += size
+        if self._resident is not None:
+            self._resident.record(size, self.used_bytes)
 
     def _evict(self, use: ClientUse, reason: EvictionReason) -> None:
         # The refusal that the client may get is no longer counted.
@@ -183,7 +200,7 @@
 
     def _relieve(self, use: ClientUse) -> None:
         """Evict clients until the total holds again; ``use`` was charged last."""
-        target = int(self.limits.total_bytes * RELIEVED_PART)
+        target = int(self.total_bytes * RELIEVED_PART)
         while self.used_bytes > target and self._uses:
             victim = self._choose_body(use)
             greedy = self._choose_greedy()
--- a/packages/transport/src/sycamorenotch_transport/_http1_connection.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_connection.py
@@ -20,6 +20,7 @@
 from sycamorenotch_transport._client_account import REFUSED
 from sycamorenotch_transport._client_account import UNREAD
 from sycamorenotch_transport._http1_exchange import Exchange
+from sycamorenotch_transport._http1_exchange import held_body_bytes
 from sycamorenotch_transport._http1_messages import HttpResponse
 from sycamorenotch_transport._http1_output import PIECE_BYTES
 from sycamorenotch_transport._http1_output import ConnectionOutput
@@ -211,8 +212,10 @@
         self._body_progress = True
         exchange.body.write(data)
         server.total_body_bytes += size
+        held = held_body_bytes(exchange.body_bytes)
         exchange.body_bytes += size
-        self._account.charge_body(self._use, size)
+        held = held_body_bytes(exchange.body_bytes) - held
+        self._account.charge_body(self._use, held)
         return not self._closing
 
     def _may_read_next(self) -> bool:
@@ -384,7 +387,7 @@
         if not exchange.body_bytes:
             return
         self._server.total_body_bytes -= exchange.body_bytes
-        self._account.charge_body(self._use, -exchange.body_bytes)
+        self._account.charge_body(self._use, -held_body_bytes(exchange.body_bytes))
         exchange.body_bytes = 0
         exchange.body = BytesIO()
 
--- a/packages/transport/src/sycamorenotch_transport/_http1_exchange.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_exchange.py
@@ -17,6 +17,16 @@
 BODILESS_STATUS = frozenset({204, 304})
 CLOSE_HEADER = ("Connection", "close")
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
+# A buffer that grows reserves an eighth more, of which large ones touch little.
+MAX_RESERVED_BODY_BYTES = 131_072
+
+
+def held_body_bytes(size: int) -> int:
+    """Return the memory of the buffer of a body.
+
+    :param size: bytes of the body that were received.
+    """
+    return size + min(size // 8, MAX_RESERVED_BODY_BYTES)
 
 
 @final
