Let clients that send far ahead give way when workers have no room

Callers saw: 503 ("every owner has a long queue") for every ordinary request beside 40 clients that send GETs ahead without end to slow workers and read nothing.

Cause: a place at a worker went to the client that asked next. Clients with thousands of requests waiting asked at once after each refusal, which they had sent ahead and could not take back, so that places were taken as soon as they became free.

What waits is not refused; clients with few requests have no window. The front end marks refusals for want of room, so that the server needs no status or header.

With 150 such clients each holds one place, and an ordinary request competes with them; that is open.

--- a/packages/gateway/src/sycamorenotch_gateway/_front_end.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_front_end.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from dataclasses import replace
 from typing import ClassVar
 from typing import final
 
@@ -48,6 +49,9 @@
 # Retry-After of a refusal for want of memory; requests in progress end in about 1 s.
 RETRY_AFTER_S = 0.5
 
+# Refusals after which other requests of the client will hardly be served either.
+WANT_OF_ROOM = frozenset({ErrorKind.OVERLOADED, ErrorKind.UPSTREAM_SHED})
+
 # What a parser quotes from a malformed request, which may contain a key.
 QUOTED = re.compile(r"""(?:bytearray\()?b?['"].*""", re.DOTALL)
 
@@ -126,6 +130,7 @@
             account=account,
             on_eviction=self._clients.record_eviction,
             schedule=turns.schedule,
+            build_window=turns.shares.build_window,
         )
 
     def _apply_limits(self, configuration: ForwardingConfiguration) -> None:
@@ -149,18 +154,24 @@
         else:
             retry_after_s = RETRY_AFTER_S if status == 503 else None
             refusal = Refusal(kind, Ran.NO, detail, retry_after_s)
-        return self._node.dialect.encode_refusal("", refusal)
+        return self._encode_refusal("", refusal)
+
+    def _encode_refusal(self, request: str, refusal: Refusal) -> HttpResponse:
+        response = self._node.dialect.encode_refusal(request, refusal)
+        if refusal.kind not in WANT_OF_ROOM:
+            return response
+        return replace(response, retry_after_s=refusal.retry_after_s)
 
     async def _serve_call(self, request: HttpRequest) -> HttpResponse:
         dialect = self._node.dialect
         call = dialect.decode_call(request)
         if call.is_error():
-            return dialect.encode_refusal("", call.error)
+            return self._encode_refusal("", call.error)
         started_at = self._node.clock()
         result = await self._forwarder.forward(call.ok)
         self._metrics.count(result, self._node.clock() - started_at)
         if result.is_error():
-            return dialect.encode_refusal(call.ok.id, result.error)
+            return self._encode_refusal(call.ok.id, result.error)
         response = dialect.encode_reply(result.ok)
         self._peers.usage.record_transfer(len(request.body) + len(response.body))
         return response
--- a/packages/gateway/src/sycamorenotch_gateway/_turns.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_turns.py
@@ -8,6 +8,7 @@
 
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_kernel import gateway_components
+from sycamorenotch_policies.client_turns import AheadShares
 from sycamorenotch_policies.client_turns import ClientTurns
 from sycamorenotch_transport import TurnSchedule
 
@@ -29,6 +30,7 @@
         self.schedule = TurnSchedule(
             node.reactor, ClientTurns(), lambda: self.on_held_back()
         )
+        self.shares = AheadShares()
         node.provide(Turns, self)
 
     def start(self) -> None:
--- a/packages/transport/src/sycamorenotch_transport/_client_account.py
+++ b/packages/transport/src/sycamorenotch_transport/_client_account.py
@@ -6,10 +6,12 @@
 from typing import Protocol
 from typing import final
 
-# What the server itself decides: to close a client that reads nothing, and to refuse a
-# request whose body pauses for too long or that the account has no room for.
+# What the server itself decides: to close a client that reads nothing, to refuse a
+# request whose body pauses for too long or that the account has no room for, and to let
+# requests wait that were sent far ahead.
 UNREAD = "unread"
 PAUSED = "paused"
+HELD_BACK = "held-back"
 REFUSED = "refused"
 
 
@@ -64,6 +66,42 @@
         ...
 
 
+class AheadWindow(Protocol):
+    """Decides how many requests of a client that sends far ahead run together."""
+
+    def allows(self, running: int) -> bool:
+        """Whether one more request may run beside ``running`` others."""
+        ...
+
+    def record_refusal(self, retry_after_s: float, far_ahead: bool) -> float:
+        """Record a refusal for want of room; return how long the others wait."""
+        ...
+
+    def record_answer(self, far_ahead: bool) -> float:
+        """Record an answer; return how long the others wait."""
+        ...
+
+
+@final
+class UnlimitedWindow:
+    """Window of a client that is trusted; it never holds back requests."""
+
+    def __init__(self, most: int) -> None:
+        """Ignore the maximum, which the server enforces itself."""
+
+    def allows(self, running: int) -> bool:
+        """Let every request run."""
+        return True
+
+    def record_refusal(self, retry_after_s: float, far_ahead: bool) -> float:
+        """Hold back nothing."""
+        return 0.0
+
+    def record_answer(self, far_ahead: bool) -> float:
+        """Hold back nothing."""
+        return 0.0
+
+
 @final
 class UnlimitedAccount:
     """Account of a server whose clients are trusted; it evicts none."""
--- a/packages/transport/src/sycamorenotch_transport/_http1_messages.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_messages.py
@@ -44,6 +44,8 @@
     """A complete response.
 
     :param close: whether to close the connection after it.
+    :param retry_after_s: when the client may send the request again, in seconds, if it
+        was refused for want of room.
     """
 
     status: int
@@ -51,6 +53,7 @@
     body: bytes = b""
     reason: str = ""
     close: bool = False
+    retry_after_s: float | None = None
 
 
 @final
--- a/packages/transport/src/sycamorenotch_transport/_http1_server.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_server.py
@@ -10,8 +10,10 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory
 
+from sycamorenotch_transport._client_account import AheadWindow
 from sycamorenotch_transport._client_account import ClientAccount
 from sycamorenotch_transport._client_account import UnlimitedAccount
+from sycamorenotch_transport._client_account import UnlimitedWindow
 from sycamorenotch_transport._http1_connection import ServerConnection
 from sycamorenotch_transport._http1_messages import HttpLimits
 from sycamorenotch_transport._http1_messages import HttpRequest
@@ -48,6 +50,8 @@
         refused, because of what clients use.
     :param schedule: turns in which clients are parsed, shared with other servers; by
         default all clients are parsed in every turn.
+    :param build_window: builds the window of one connection from the maximum number of
+        its requests; by default clients that send far ahead are not held back.
     """
 
     noisy = False
@@ -62,6 +66,7 @@
         account: ClientAccount | None = None,
         on_eviction: Callable[[str], None] = ignore_eviction,
         schedule: TurnSchedule | None = None,
+        build_window: Callable[[int], AheadWindow] = UnlimitedWindow,
     ) -> None:
         self._reactor = reactor
         self.handler = handler
@@ -70,6 +75,7 @@
         self.http_limits = HttpLimits() if http_limits is None else http_limits
         self.account = UnlimitedAccount() if account is None else account
         self.on_eviction = on_eviction
+        self.build_window = build_window
         self.schedule = TurnSchedule(reactor) if schedule is None else schedule
         self.unread = UnreadWatch(reactor, lambda: self.http_limits.unread_timeout_s)
         self.connections: set[ServerConnection] = set()
--- a/testing/transport/test_client_limits.py
+++ b/testing/transport/test_client_limits.py
@@ -15,6 +15,7 @@
 from sycamorenotch_policies.client_memory import ByteKind
 from sycamorenotch_policies.client_memory import ClientAccount
 from sycamorenotch_policies.client_memory import ClientLimits
+from sycamorenotch_policies.client_turns import AheadShares
 from sycamorenotch_policies.client_turns import ClientTurns
 from sycamorenotch_policies.client_turns import TurnLimits
 from sycamorenotch_transport import HttpLimits
@@ -296,6 +297,32 @@
     assert harness.transport.disconnecting
 
 
+def test_client_that_sends_far_ahead_waits_after_a_refusal() -> None:
+    # It took each place that became free at a worker, in place of other clients.
+    harness = LimitedHarness(build_window=AheadShares().build_window)
+    harness.send_ahead(*[GET] * 1_000)
+    refusal = HttpResponse(503, retry_after_s=0.5)
+    count = len(harness.requests)
+    harness.responses[0].callback(refusal)
+    harness.clock.pump([0] * 9)
+    assert len(harness.requests) == count
+    harness.clock.advance(0.5)
+    for number in range(1, count):
+        harness.answer(number)
+    assert len(harness.requests) > count
+    assert harness.evictions == ["held-back"]
+
+
+def test_client_with_few_requests_does_not_wait_after_a_refusal() -> None:
+    harness = LimitedHarness(build_window=AheadShares().build_window)
+    harness.send_ahead(GET, GET)
+    for response in harness.responses:
+        response.callback(HttpResponse(503, retry_after_s=0.5))
+    harness.send_ahead(GET)
+    assert len(harness.requests) == 3
+    assert harness.evictions == []
+
+
 def test_closed_connection_keeps_no_request(harness) -> None:
     # Reference cycles kept it until a collection, which may come much later.
     harness.send(GET[:-2] + b"a: b\r\n" * 9)
