Bound the connections to the listeners for readiness and metrics

Callers saw: a process that uses all descriptors of its machine when 700 silent clients connect to the listener for readiness: 600 of 600, of which 500 are allowed.

Cause: only callers and look-ups had an account, as the platform alone was to reach the other listeners. What is left when they have taken all are neither connections to workers nor to the store.

Change: both listeners share an account of their own, with 1/32 of the descriptors beyond 200 (at least 16) and 8 MB, so that neither kind of client shuts out the other.

--- a/packages/gateway/src/sycamorenotch_gateway/_clients.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_clients.py
@@ -19,6 +19,7 @@
 from sycamorenotch_policies.client_memory import MachineShare
 from sycamorenotch_policies.client_memory import ResidentLimit
 from sycamorenotch_policies.client_memory import derive_client_limits
+from sycamorenotch_policies.client_memory import derive_own_limits
 
 # A crowd is closed client by client; one line tells of all within this time.
 REPORT_INTERVAL_S = 5.0
@@ -33,7 +34,11 @@
 @gateway_components.register("clients")
 @final
 class Clients:
-    """Bounds and reports what the clients of all listeners for callers use."""
+    """Bounds and reports what the clients of all listeners use.
+
+    :ivar account: of callers and look-ups.
+    :ivar own_account: of readiness probes and readers of metrics.
+    """
 
     after: ClassVar[tuple[str, ...]] = ("metrics", "turns")
 
@@ -51,6 +56,8 @@
         resident = ResidentLimit(limits.total_bytes, ceiling_bytes, SystemMemory())
         self.account = ClientAccount(limits, node.clock, resident)
         node.require(Turns).on_held_back = partial(self.record_eviction, HELD_BACK)
+        # Apart, so that clients of callers' listeners do not shut out the platform.
+        self.own_account = ClientAccount(derive_own_limits(share), node.clock)
         self._unreported: Counter[str] = Counter()
         self._timer: Any = None
         self._metrics.measure_clients(self._measure)
--- a/packages/gateway/src/sycamorenotch_gateway/_front_end.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_front_end.py
@@ -78,12 +78,12 @@
         self._peers = node.require(Peers)
         self._metrics = node.require(GatewayMetrics)
         self._clients = node.require(Clients)
-        account = self._clients.account
+        account, own = self._clients.account, self._clients.own_account
         self._caller_server = self._create_server("callers", self._serve_call, account)
         self._internal_servers = {
-            "readiness": self._create_server("readiness", self._serve_readiness),
+            "readiness": self._create_server("readiness", self._serve_readiness, own),
             "lookups": self._create_server("lookups", self._serve_lookup, account),
-            "metrics": self._create_server("metrics", self._serve_metrics),
+            "metrics": self._create_server("metrics", self._serve_metrics, own),
         }
         node.require(Routes).subscribe(self._apply_limits)
         node.provide(GatewayFrontEnd, self)
@@ -117,7 +117,7 @@
         node.sink.emit(GatewayStopped(node.settings.instance, unfinished))
 
     def _create_server(
-        self, name: str, handler: Handler, account: ClientAccount | None = None
+        self, name: str, handler: Handler, account: ClientAccount
     ) -> Http1Server:
         turns = self._node.require(Turns)
         return Http1Server(
--- a/packages/policies/src/sycamorenotch_policies/client_memory/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/client_memory/__init__.py
@@ -9,6 +9,7 @@
 from sycamorenotch_policies.client_memory._limits import ClientLimits
 from sycamorenotch_policies.client_memory._limits import MachineShare
 from sycamorenotch_policies.client_memory._limits import derive_client_limits
+from sycamorenotch_policies.client_memory._limits import derive_own_limits
 from sycamorenotch_policies.client_memory._resident import ProcessMemory
 from sycamorenotch_policies.client_memory._resident import ResidentLimit
 from sycamorenotch_policies.client_memory._use import ByteKind
@@ -25,4 +26,5 @@
     "ProcessMemory",
     "ResidentLimit",
     "derive_client_limits",
+    "derive_own_limits",
 ]
--- a/packages/policies/src/sycamorenotch_policies/client_memory/_limits.py
+++ b/packages/policies/src/sycamorenotch_policies/client_memory/_limits.py
@@ -14,6 +14,9 @@
 # the rest is for idle connections to workers and for peers.
 CONNECTION_PART = 5 / 8
 REQUEST_PART = 1 / 4
+# Part for connections of the platform to an instance's own listeners, which need few.
+OWN_LISTENER_PART = 1 / 32
+OWN_LISTENER_BYTES = 8 * BYTES_PER_MB
 # With less memory an instance still serves some clients.
 MIN_TOTAL_BYTES = 8 * BYTES_PER_MB
 MIN_CONNECTIONS = 16
@@ -65,3 +68,10 @@
         connections or max(MIN_CONNECTIONS, int(descriptors * CONNECTION_PART)),
         max(MIN_REQUESTS, int(descriptors * REQUEST_PART)),
     )
+
+
+def derive_own_limits(share: MachineShare) -> ClientLimits:
+    """Return the limits on the clients of listeners for the platform together."""
+    descriptors = max(0, share.descriptors - RESERVED_DESCRIPTORS)
+    connections = max(MIN_CONNECTIONS, int(descriptors * OWN_LISTENER_PART))
+    return ClientLimits(OWN_LISTENER_BYTES, connections, connections)
--- a/testing/policies/test_client_memory.py
+++ b/testing/policies/test_client_memory.py
@@ -9,6 +9,7 @@
 from sycamorenotch_policies.client_memory import ClientLimits
 from sycamorenotch_policies.client_memory import MachineShare
 from sycamorenotch_policies.client_memory import derive_client_limits
+from sycamorenotch_policies.client_memory import derive_own_limits
 from sycamorenotch_policies.client_memory._account import PAUSED_AFTER_S
 
 MEBIBYTE = 1_048_576
@@ -43,6 +44,12 @@
     assert (limits.connections, limits.requests) == (2_437, 975)
 
 
+def test_listeners_for_the_platform_have_limits_of_their_own() -> None:
+    limits = derive_own_limits(MachineShare(200, 4_100, 33_554_432))
+    assert (limits.connections, limits.requests) == (121, 121)
+    assert derive_own_limits(MachineShare(200, 100, 0)).connections == 16
+
+
 def test_settings_replace_the_limits_of_the_machine() -> None:
     share = MachineShare(200, 4_100, 33_554_432)
     limits = derive_client_limits(share, total_bytes=5, connections=6)
