Let the fault soak have clients that do not behave

Cause: the soak knew one such client, which sends requests ahead and reads nothing.

Change: a fault "misbehaving-clients": five clients that send one of ten kinds of input without end to a gateway, read or unread, and reset their connections after 2 s. The kinds stand in crowds.py, shared with the tests of crowds.

--- a/testing/platform/crowds.py
+++ b/testing/platform/crowds.py
@@ -38,6 +38,23 @@
 # An ordinary caller sends again until this time; no single response is timed.
 MAX_WAIT_S = 12.0
 LARGE_RESPONSE = bytes(262_144)
+HEAD_LINES = b"Host: h\r\n\r\n"
+GET = b"GET /safe/1 HTTP/1.1\r\n" + HEAD_LINES
+MANY_FIELDS = b"GET /safe/1 HTTP/1.1\r\nHost: h\r\n" + b"a:\r\n" * 3_900 + b"\r\n"
+CHUNKED = b"POST /once/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" + HEAD_LINES
+LONG_BODY = b"POST /once/1 HTTP/1.1\r\nContent-Length: 4000000\r\n" + HEAD_LINES
+TINY_CHUNK = b"1\r\nx\r\n"
+# What each kind of client sends first, and what it then repeats.
+ENDLESS = {
+    "request line": (b"GET /", b"x"),
+    "fields": (GET[:-2], b"a: b\r\n"),
+    "blank lines": (b"", b"\r\n"),
+    "chunk size": (CHUNKED, b"0"),
+    "chunk extensions": (CHUNKED, b"1;" + b"x" * 6_000 + b"\r\nx\r\n"),
+    "trailers": (CHUNKED + b"0\r\n", b"a: b\r\n"),
+    "body beyond its length": (LONG_BODY, b"x"),
+    "requests of many fields": (b"", MANY_FIELDS),
+}
 # The process uses about 85 MB before it serves.
 MEMORY_MB = 150
 DESCRIPTORS = 600
--- a/testing/platform/fault_soak.py
+++ b/testing/platform/fault_soak.py
@@ -25,6 +25,11 @@
 from testing.platform.conftest import SETTINGS
 from testing.platform.conftest import configuration
 from testing.platform.conftest import route
+from testing.platform.crowds import CHUNKED
+from testing.platform.crowds import ENDLESS
+from testing.platform.crowds import GET
+from testing.platform.crowds import TINY_CHUNK
+from testing.platform.crowds import EndlessClient
 from testing.platform.proxies import MODES
 from testing.platform.proxies import Proxy
 from testing.platform.standins import StandInStore
@@ -53,6 +58,14 @@
 LOGS = flags.DEFINE_string("logs", "build/fault-soak", "Folder for the gateways' logs.")
 GATEWAYS = flags.DEFINE_integer("gateways", 3, "Gateways, each a process.")
 
+# What misbehaving clients send first, and what they then repeat.
+MISBEHAVIOURS = {
+    **ENDLESS,
+    "tiny chunks": (CHUNKED, TINY_CHUNK),
+    "requests ahead": (b"", GET),
+}
+MISBEHAVING_CLIENTS = 5
+MISBEHAVIOUR_S = 2.0
 WORKERS = 6
 CALLERS = 12
 OBJECT_KEYS = 12
@@ -309,6 +322,7 @@
             "evacuation": self.evacuate,
             "foreign-entry": self.write_foreign_entry,
             "unread-responses": self.send_ahead,
+            "misbehaving-clients": self.misbehave,
         }
         while reactor.seconds() < end:
             name = self.random.choice(sorted(kinds))
@@ -396,6 +410,26 @@
         # A gateway that is down refuses the connection.
         connecting.addErrback(lambda _: None)
 
+    def misbehave(self) -> None:
+        """Let some clients send the same without end to a gateway, and leave."""
+        host, _, port = self.random.choice(self.callers).rpartition(":")
+        first, repeated = MISBEHAVIOURS[self.random.choice(sorted(MISBEHAVIOURS))]
+        reads = self.random.random() < 0.5
+
+        class Misbehaving(Factory):
+            noisy = False
+
+            def buildProtocol(self, addr: Any) -> Protocol:
+                return EndlessClient(first, repeated, reads)
+
+        def leave_later(client: Protocol) -> None:
+            reactor.callLater(MISBEHAVIOUR_S, client.transport.abortConnection)
+
+        for _ in range(MISBEHAVING_CLIENTS):
+            endpoint = TCP4ClientEndpoint(reactor, host, int(port), 1)
+            # A gateway that is down refuses the connection.
+            endpoint.connect(Misbehaving()).addCallbacks(leave_later, lambda _: None)
+
     # Rate limits
 
     async def limit_rates(self) -> None:
--- a/testing/platform/test_misbehaving_clients.py
+++ b/testing/platform/test_misbehaving_clients.py
@@ -9,30 +9,18 @@
 import signal
 
 import pytest
+from testing.platform.crowds import CHUNKED
+from testing.platform.crowds import ENDLESS
+from testing.platform.crowds import GET
+from testing.platform.crowds import LONG_BODY
+from testing.platform.crowds import TINY_CHUNK
 from testing.platform.crowds import Client
 from testing.platform.crowds import EndlessClient
 from testing.platform.crowds import GatewayProcess
 from testing.platform.crowds import ResettingClient
 from testing.platform.crowds import TricklingClient
 
-HEAD_LINES = b"Host: h\r\n\r\n"
-GET = b"GET /safe/1 HTTP/1.1\r\n" + HEAD_LINES
-HEAD = b"HEAD /safe/1 HTTP/1.1\r\n" + HEAD_LINES
-MANY_FIELDS = b"GET /safe/1 HTTP/1.1\r\nHost: h\r\n" + b"a:\r\n" * 3_900 + b"\r\n"
-CHUNKED = b"POST /once/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" + HEAD_LINES
-LONG_BODY = b"POST /once/1 HTTP/1.1\r\nContent-Length: 4000000\r\n" + HEAD_LINES
-TINY_CHUNK = b"1\r\nx\r\n"
-# What each kind of client sends first, and what it then repeats.
-ENDLESS = {
-    "request line": (b"GET /", b"x"),
-    "fields": (GET[:-2], b"a: b\r\n"),
-    "blank lines": (b"", b"\r\n"),
-    "chunk size": (CHUNKED, b"0"),
-    "chunk extensions": (CHUNKED, b"1;" + b"x" * 6_000 + b"\r\nx\r\n"),
-    "trailers": (CHUNKED + b"0\r\n", b"a: b\r\n"),
-    "body beyond its length": (LONG_BODY, b"x"),
-    "requests of many fields": (b"", MANY_FIELDS),
-}
+HEAD = GET.replace(b"GET", b"HEAD")
 # The memory for responses is lowered, so that most of the machine is for clients.
 FEW_RESPONSES = "[answers]\nbuffered_bytes = 1000000\n"
 LITTLE_MEMORY = "[clients]\nmax_bytes = 8000000\n"
