Apply no timeout to headers that wait for their turn

Callers would see: 408 for a request that is sent behind another one, if its turn comes later than the header timeout (3 s) beside a crowd whose heads take long to parse.

Cause: the timeout of the headers began when the request before was answered, although the server had the input and did not parse it yet.

Change: no timeout runs while input waits for its turn. The reason "held-back" has one name among those of the account.

Evidence: the new test gets a 408 before and none after.

--- a/packages/gateway/src/sycamorenotch_gateway/_clients.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_clients.py
@@ -16,6 +16,7 @@
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_policies.client_memory import ByteKind
 from sycamorenotch_policies.client_memory import ClientAccount
+from sycamorenotch_policies.client_memory import EvictionReason
 from sycamorenotch_policies.client_memory import MachineShare
 from sycamorenotch_policies.client_memory import ResidentLimit
 from sycamorenotch_policies.client_memory import derive_client_limits
@@ -27,8 +28,6 @@
 # Part of the machine's memory that the process may use. The rest is for what is
 # allocated between two readings of its resident memory.
 USABLE_MEMORY = 0.95
-# Reason for turns of the loop in which the input of some clients had to wait.
-HELD_BACK = "held-back"
 
 
 @gateway_components.register("clients")
@@ -55,7 +54,9 @@
         ceiling_bytes = int(machine.memory_mb * BYTES_PER_MB * USABLE_MEMORY)
         resident = ResidentLimit(limits.total_bytes, ceiling_bytes, SystemMemory())
         self.account = ClientAccount(limits, node.clock, resident)
-        node.require(Turns).on_held_back = partial(self.record_eviction, HELD_BACK)
+        node.require(Turns).on_held_back = partial(
+            self.record_eviction, EvictionReason.HELD_BACK
+        )
         # Apart, so that clients of callers' listeners do not shut out the platform.
         self.own_account = ClientAccount(derive_own_limits(share), node.clock)
         self._unreported: Counter[str] = Counter()
--- a/packages/policies/src/sycamorenotch_policies/client_memory/_use.py
+++ b/packages/policies/src/sycamorenotch_policies/client_memory/_use.py
@@ -33,13 +33,14 @@
 
 @final
 class EvictionReason(StrEnum):
-    """Why a client is closed; also a label of the metrics."""
+    """Why a client is closed or held back; also a label of the metrics."""
 
     UNREAD = "unread"
     SENT_AHEAD = "sent-ahead"
     PAUSED = "paused"
     MEMORY = "memory"
     CONNECTIONS = "connections"
+    HELD_BACK = "held-back"
 
 
 class EvictableClient(Protocol):
--- a/packages/transport/src/sycamorenotch_transport/_http1_connection.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_connection.py
@@ -442,9 +442,11 @@
         """Run the timeout of the headers, of an idle connection, or none.
 
         While much output is unread, no request is read and its timeout is another one.
+        Neither is input read that waits for its turn.
         """
         limits = self._server.http_limits
-        if self._closing or self._started or self._held or self._output.full:
+        busy = self._started or self._held or self._waiting or self._output.full
+        if self._closing or busy:
             self._timeout.cancel()
         elif self.idle:
             self._timeout.start(limits.idle_timeout_s, self.close)
--- a/testing/transport/test_client_limits.py
+++ b/testing/transport/test_client_limits.py
@@ -10,6 +10,7 @@
 from testing.transport.test_http1_server import POST
 from testing.transport.test_http1_server import Harness
 from twisted.internet.error import ConnectionDone
+from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
 from sycamorenotch_policies.client_memory import ByteKind
@@ -286,6 +287,16 @@
     assert not harness.clock.getDelayedCalls()
 
 
+def test_request_that_waits_for_its_turn_has_no_timeout(harness) -> None:
+    # Its headers were received in time; others keep the server from parsing them.
+    harness.server.schedule = TurnSchedule(Clock())
+    harness.send(GET + GET)
+    harness.answer(0)
+    harness.clock.advance(harness.server.http_limits.header_timeout_s)
+    assert b"408" not in harness.written
+    assert not harness.transport.disconnecting
+
+
 @pytest.mark.parametrize("chunk", [b"1;" + b"x" * 6_000, b"0" * 12_000])
 def test_framing_of_a_body_is_bounded(harness, chunk) -> None:
     # Extensions of chunks were received without end, as they are no part of the body.
