Let many clients that send far ahead wait after their answers

Cause: the window ended at one request, and 150 clients with one request each fill two workers as well.

Change: below one request, the window is a wait after each answer, which doubles from 0.5 s to 4 s while clients are refused that do not send far ahead, and halves while none is.

--- a/packages/policies/src/sycamorenotch_policies/client_turns/_ahead.py
+++ b/packages/policies/src/sycamorenotch_policies/client_turns/_ahead.py
@@ -6,8 +6,10 @@
 
 # A client that sends far ahead waits for this time at most after a refusal.
 MAX_HOLD_S = 1.0
-# Time for which it waits after an answer while other clients are refused.
-GIVE_WAY_S = 0.5
+# Below one request, the window is a wait after each answer: this time, divided by the
+# size of the window. Many such clients with one request each also fill the workers.
+GIVE_WAY_S = 0.25
+LEAST_SIZE = 1 / 16
 # Rounds of answers after which the window has grown by one request. Faster growth
 # leaves workers without room for others most of the time.
 GROWTH_ROUNDS = 8
@@ -49,7 +51,7 @@
 
     def allows(self, running: int) -> bool:
         """Whether one more request may run beside ``running`` others."""
-        return running + 1 <= self._size
+        return running + 1 <= max(1.0, self._size)
 
     def record_refusal(self, retry_after_s: float, far_ahead: bool) -> float:
         """Record that a request was refused for want of room.
@@ -61,8 +63,8 @@
         if not far_ahead:
             self._shares.refusals += 1
             return 0.0
-        self._halve()
-        return min(retry_after_s, MAX_HOLD_S)
+        self._size = max(min(1.0, self._size), self._size / 2)
+        return max(self._wait_s(), min(retry_after_s, MAX_HOLD_S))
 
     def record_answer(self, far_ahead: bool) -> float:
         """Record that a request was answered.
@@ -73,13 +75,13 @@
         seen, self._seen_refusals = self._seen_refusals, self._shares.refusals
         if not far_ahead:
             return 0.0
-        if seen == self._shares.refusals:
+        if seen != self._shares.refusals:
+            self._size = max(LEAST_SIZE, self._size / 2)
+        elif self._size < 1:
+            self._size *= 2
+        else:
             self._size = min(self._most, self._size + 1 / (GROWTH_ROUNDS * self._size))
-            return 0.0
-        if self._size > 1:
-            self._halve()
-            return 0.0
-        return GIVE_WAY_S
+        return self._wait_s()
 
-    def _halve(self) -> None:
-        self._size = max(1.0, self._size / 2)
+    def _wait_s(self) -> float:
+        return 0.0 if self._size >= 1 else GIVE_WAY_S / self._size
--- a/testing/policies/test_ahead_window.py
+++ b/testing/policies/test_ahead_window.py
@@ -34,6 +34,18 @@
     assert held == [False] * 5 + [True] * 2
 
 
+def test_wait_grows_while_others_are_refused_and_ends_when_none_is() -> None:
+    # Many such clients fill the workers with one request each.
+    shares = AheadShares()
+    greedy, ordinary = shares.build_window(1), shares.build_window(1)
+    waits = []
+    for _ in range(6):
+        ordinary.record_refusal(0.2, far_ahead=False)
+        waits.append(greedy.record_answer(far_ahead=True))
+    assert waits == [0.5, 1.0, 2.0, 4.0, 4.0, 4.0]
+    assert [greedy.record_answer(far_ahead=True) for _ in range(4)][-1] == 0
+
+
 def test_client_with_few_requests_is_never_held_back() -> None:
     shares = AheadShares()
     first, second = shares.build_window(MOST), shares.build_window(MOST)
