Count clients whose framing is too long, and split the hold from the connection

Cause: a body whose framing exceeds its limit was refused and logged, but no counter named it; every limit on clients has one. The connection had grown by the window of clients that send far ahead.

Change: such a refusal counts as "framing" in clients.limited and its counter. AheadHold has the window and the wait of a connection; the code is moved and otherwise the same.

--- a/packages/transport/src/sycamorenotch_transport/_client_account.py
+++ b/packages/transport/src/sycamorenotch_transport/_client_account.py
@@ -7,10 +7,11 @@
 from typing import final
 
 # What the server itself decides: to close a client that reads nothing, to refuse a
-# request whose body pauses for too long or that the account has no room for, and to let
-# requests wait that were sent far ahead.
+# request whose body pauses for too long, whose framing is too long or that the account
+# has no room for, and to let requests wait that were sent far ahead.
 UNREAD = "unread"
 PAUSED = "paused"
+FRAMING = "framing"
 HELD_BACK = "held-back"
 REFUSED = "refused"
 
--- a/packages/transport/src/sycamorenotch_transport/_http1_connection.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_connection.py
@@ -16,15 +16,18 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from sycamorenotch_transport._client_account import FRAMING
 from sycamorenotch_transport._client_account import HELD_BACK
 from sycamorenotch_transport._client_account import PAUSED
 from sycamorenotch_transport._client_account import REFUSED
 from sycamorenotch_transport._client_account import UNREAD
 from sycamorenotch_transport._http1_exchange import Exchange
 from sycamorenotch_transport._http1_exchange import held_body_bytes
+from sycamorenotch_transport._http1_hold import AheadHold
 from sycamorenotch_transport._http1_messages import HttpResponse
 from sycamorenotch_transport._http1_output import PIECE_BYTES
 from sycamorenotch_transport._http1_output import ConnectionOutput
+from sycamorenotch_transport._http1_reader import FramingTooLongError
 from sycamorenotch_transport._http1_reader import RequestReader
 from sycamorenotch_transport._http1_timeout import ConnectionTimeout
 from sycamorenotch_transport._sockets import configure_socket
@@ -63,12 +66,8 @@
         self._received_bytes = 0
         # Whether the body made progress since its timeout began.
         self._body_progress = False
-        self._window = server.build_window(server.http_limits.pipelined_requests)
-        # Whether the client sends far ahead: since reading was paused for it, until it
-        # has no request.
-        self._far_ahead = False
-        # Whether what was sent ahead waits after a refusal.
-        self._held = False
+        window = server.build_window(server.http_limits.pipelined_requests)
+        self._hold = AheadHold(window, server.call_later, self._go_on)
         # Whether the input waits for a later turn of the loop.
         self._waiting = False
         self._paused = False
@@ -96,7 +95,7 @@
         if self._closing or self._reader.ended:
             return
         if self.idle:
-            self._far_ahead = False
+            self._hold.reset()
         self._reader.add(data)
         if self._waiting:
             self._update_input()
@@ -184,6 +183,8 @@
         try:
             self._handle(reader.read(steps))
         except h11.RemoteProtocolError as exc:
+            if isinstance(exc, FramingTooLongError):
+                self._server.on_eviction(FRAMING)
             self._reject(exc.error_status_hint, str(exc))
         if reader.interrupted and not reader.ended:
             self._parse_soon()
@@ -230,9 +231,7 @@
     def _may_read_next(self) -> bool:
         """Whether a request behind the started ones may be read."""
         started, server = self._started, self._server
-        if self._output.full or self._held:
-            return False
-        if self._far_ahead and not self._window.allows(len(started)):
+        if self._output.full or not self._hold.allows(len(started)):
             return False
         return not started or (
             len(started) < server.http_limits.pipelined_requests
@@ -291,7 +290,8 @@
         self._release_body(exchange)
         if self._closing:
             return
-        self._update_window(response)
+        if self._hold.record(response, self._paused):
+            self._server.on_eviction(HELD_BACK)
         exchange.response = response
         if self._started[0] is exchange and not self._output.full:
             self._send_responses()
@@ -300,24 +300,6 @@
             self._account.charge_response(self._use, exchange.waiting_bytes)
         self._go_on()
 
-    def _update_window(self, response: HttpResponse) -> None:
-        """Hold back a client that sends far ahead while workers have no room."""
-        self._far_ahead = self._far_ahead or self._paused
-        if response.retry_after_s is None:
-            hold_s = self._window.record_answer(self._far_ahead)
-        else:
-            hold_s = self._window.record_refusal(
-                response.retry_after_s, self._far_ahead
-            )
-        if hold_s > 0 and not self._held:
-            self._held = True
-            self._server.on_eviction(HELD_BACK)
-            self._server.call_later(hold_s, self._end_hold)
-
-    def _end_hold(self) -> None:
-        self._held = False
-        self._go_on()
-
     def _send_responses(self) -> None:
         """Send the responses whose turn it is, as far as the client reads."""
         while self._started and not self._closing and not self._output.full:
@@ -445,7 +427,7 @@
         Neither is input read that waits for its turn.
         """
         limits = self._server.http_limits
-        busy = self._started or self._held or self._waiting or self._output.full
+        busy = self._started or self._hold.active or self._waiting or self._output.full
         if self._closing or busy:
             self._timeout.cancel()
         elif self.idle:
--- a/packages/transport/src/sycamorenotch_transport/_http1_reader.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_reader.py
@@ -29,6 +29,10 @@
 ReceiveBody = Callable[[Exchange, bytes | bytearray], bool]
 
 
+class FramingTooLongError(h11.RemoteProtocolError):
+    """The framing of a chunked body exceeds its limit."""
+
+
 @final
 class RequestReader:
     """Splits the input of a connection into requests.
@@ -159,7 +163,7 @@
         """Give the parser input.
 
         :return: whether there was any.
-        :raises h11.RemoteProtocolError: if the framing of a body exceeds its limit.
+        :raises FramingTooLongError: if the framing of a body exceeds its limit.
         """
         if not self.input:
             return False
@@ -177,6 +181,6 @@
             allowed = FREE_FRAMING_BYTES + FRAMING_PER_BODY_BYTE * exchange.body_bytes
             if exchange.chunked_bytes - exchange.body_bytes > allowed:
                 detail = "the framing of the request body takes too many bytes"
-                raise h11.RemoteProtocolError(detail)
+                raise FramingTooLongError(detail)
         exchange.http.receive_data(piece)
         return True
--- a/testing/transport/test_client_limits.py
+++ b/testing/transport/test_client_limits.py
@@ -297,13 +297,20 @@
     assert not harness.transport.disconnecting
 
 
-@pytest.mark.parametrize("chunk", [b"1;" + b"x" * 6_000, b"0" * 12_000])
-def test_framing_of_a_body_is_bounded(harness, chunk) -> None:
+def test_framing_of_a_body_is_bounded(harness) -> None:
     # Extensions of chunks were received without end, as they are no part of the body.
     harness.send(CHUNKED)
     for _ in range(20):
-        harness.send(chunk + b"\r\nx\r\n")
+        harness.send(b"1;" + b"x" * 6_000 + b"\r\nx\r\n")
         harness.clock.advance(0)
+    assert harness.written.startswith(b"HTTP/1.1 400")
+    assert harness.transport.disconnecting
+    assert harness.evictions == ["framing"]
+
+
+def test_chunk_size_without_end_is_refused(harness) -> None:
+    harness.send(CHUNKED + b"0" * 12_000 + b"\r\nx\r\n")
+    harness.clock.pump([0] * 3)
     assert harness.written.startswith(b"HTTP/1.1 4")
     assert harness.transport.disconnecting
 
