Keep the turns going when a client's input raises

Callers would see: no further turn for clients that wait, until another one starts to wait, after an error in the code that parses one of them. Found by reading.

Cause: the next turn was scheduled behind the parsing, which an exception left. Besides, a turn with more clients waiting than it has steps was not reported as one that held clients back.

Change: the next turn is scheduled in any case, and the report counts all that wait.

Evidence: both new tests fail before and pass.

--- a/packages/policies/src/sycamorenotch_policies/client_turns/_turns.py
+++ b/packages/policies/src/sycamorenotch_policies/client_turns/_turns.py
@@ -68,10 +68,13 @@
         :return: whether all of them had their turn.
         """
         left = self.limits.total
-        for client in tuple(islice(self._waiting, left)):
+        # Each takes a step at least.
+        clients = tuple(islice(self._waiting, left))
+        complete = len(clients) == len(self._waiting)
+        for client in clients:
             if left <= 0:
                 return False
             if client in self._waiting:
                 self.discard(client)
                 left -= max(1, parse(client, min(self.limits.client, left)))
-        return True
+        return complete
--- a/packages/transport/src/sycamorenotch_transport/_turn_schedule.py
+++ b/packages/transport/src/sycamorenotch_transport/_turn_schedule.py
@@ -104,9 +104,7 @@
     def add(self, client: TurnClient) -> None:
         """Let a client parse in a later turn."""
         self._turns.add(client)
-        if not self._scheduled:
-            self._scheduled = True
-            self._reactor.callLater(0, self._run)
+        self._schedule()
 
     def discard(self, client: TurnClient) -> None:
         """Forget a client, as its connection is closed."""
@@ -114,8 +112,17 @@
 
     def _run(self) -> None:
         self._scheduled = False
-        if not self._turns.take_turn(lambda client, steps: client.parse_turn(steps)):
+        try:
+            complete = self._turns.take_turn(
+                lambda client, steps: client.parse_turn(steps)
+            )
+        finally:
+            # A client whose input raises must not keep the others waiting.
+            self._schedule()
+        if not complete:
             self._on_held_back()
+
+    def _schedule(self) -> None:
         if self._turns.waiting and not self._scheduled:
             self._scheduled = True
             self._reactor.callLater(0, self._run)
