Log which configuration decided on a request, how old and from where

Cause: the log lines of a request named the version in force when it ended, not the one that decided, and no line told its age, its era or from whom an instance had learned it. A request that is refused by an old version could not be followed back to the message that was missing.

Change: the version and age are taken when the request is routed; a configuration's line has era and source. A poll that is given up says after which time.

--- a/packages/gateway/src/sycamorenotch_gateway/_events.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_events.py
@@ -103,11 +103,17 @@
 @final
 @dataclass(frozen=True, slots=True)
 class ConfigurationApplied(Event):
-    """A newer version of the routes, services and limits was applied."""
+    """A newer version of the routes, services and limits was applied.
+
+    :param era: era of the store that the revision belongs to.
+    :param source: the instance from which it was read, or ``store``.
+    """
 
     version: int
     revision: int
     routes: int
+    era: int
+    source: str
 
 
 @event(6102, "configuration.rejected", Severity.ERROR)
@@ -277,7 +283,11 @@
 @final
 @dataclass(frozen=True, slots=True)
 class RequestAnswered(Event):
-    """A worker's answer to a request was forwarded to the caller."""
+    """A worker's answer to a request was forwarded to the caller.
+
+    :param configuration: version by which the request was routed; its age in seconds
+        was ``configuration_age_s`` then, or unknown.
+    """
 
     request: str
     route: str
@@ -287,13 +297,18 @@
     attempts: int
     seconds: float
     configuration: int
+    configuration_age_s: float | None
 
 
 @event(6502, "request.refused", Severity.WARNING)
 @final
 @dataclass(frozen=True, slots=True)
 class RequestRefused(Event):
-    """A request was answered with an error of the system itself."""
+    """A request was answered with an error of the system itself.
+
+    :param configuration: version that decided on the request, 0 if there was none; its
+        age in seconds was ``configuration_age_s`` then, or unknown.
+    """
 
     request: str
     route: str
@@ -306,6 +321,7 @@
     seconds: float
     retry_after_s: float
     configuration: int
+    configuration_age_s: float | None
 
 
 @event(6503, "request.attempt-failed", Severity.WARNING)
--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -59,6 +59,9 @@
 # watch.
 ENTRY_RETURN_GRACE_S = 2.2
 
+# Source of what no instance has passed on.
+STORE_SOURCE = "store"
+
 # Receives a batch, and whether it is a snapshot of the whole topic.
 BatchHandler = Callable[[Batch, bool], None]
 
@@ -81,6 +84,8 @@
         self._handle_batch = handle_batch
         self._loop = node.background(self._turn)
         self._revision: int | None = None
+        # From where the last batch came.
+        self.source = STORE_SOURCE
         # Whether the store, not a peer, keeps the items current.
         self._watching = False
         self._checks_store = False
@@ -171,7 +176,7 @@
         self._record_success()
         batch, is_snapshot = found.ok
         if batch.position > self._log.position or not self.complete:
-            self._apply(batch, is_snapshot)
+            self._apply(batch, is_snapshot, source.id)
         self._age.record_statement(batch, sent_at, self._log.position.era)
         self._revision = self._log.position.revision
         return NO_DELAY
@@ -245,15 +250,19 @@
 
     async def _read_from_peer(self) -> None:
         sent_at = self._node.boot_clock()
-        batch = await self._relay.read(self._topic, self._log.position)
-        if batch is None:
+        found = await self._relay.read(self._topic, self._log.position)
+        if found is None:
             return
+        batch, peer = found
         if batch.position > self._log.position:
             self._node.sink.emit(TopicRelayed(self._topic.value, batch.revision))
-            self._apply(batch, is_snapshot=True)
+            self._apply(batch, is_snapshot=True, source=peer.id)
         self._age.record_statement(batch, sent_at, self._log.position.era)
 
-    def _apply(self, batch: Batch, is_snapshot: bool) -> None:
+    def _apply(
+        self, batch: Batch, is_snapshot: bool, source: str = STORE_SOURCE
+    ) -> None:
+        self.source = source
         if self.complete:
             self._note_era(batch)
         self._log.apply(batch, is_snapshot=is_snapshot)
--- a/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_forwarder.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from math import inf
+from math import isfinite
 from typing import ClassVar
 from typing import final
 
@@ -68,10 +70,14 @@
     """State of one request across its attempts.
 
     :param started_at: start on the monotonic clock, in seconds.
+    :param version: version of the configuration that decides, 0 if there is none.
+    :param version_age_s: age of that configuration, in seconds; may be infinite.
     :param tried: workers that have received an attempt.
     """
 
     started_at: float
+    version: int = 0
+    version_age_s: float = inf
     route: str = ""
     service: str = ""
     worker: str = ""
@@ -140,6 +146,8 @@
         if table is None or not self._workers.complete:
             detail = "the configuration or the workers have not been read yet"
             return Error(Refusal(ErrorKind.NOT_READY, Ran.NO, detail, RETRY_AFTER_S))
+        progress.version = table.configuration.version
+        progress.version_age_s = self._routes.age_s
         route = table.match(call.host, call.path)
         if route is None:
             detail = f"no route for {call.host} {call.path}"
@@ -287,7 +295,8 @@
         self, call: ForwardCall, progress: _Progress, result: ForwardResult
     ) -> None:
         seconds = round(self._node.clock() - progress.started_at, 3)
-        version = self._routes.version
+        age_s = progress.version_age_s
+        known_age_s = round(age_s, 3) if isfinite(age_s) else None
         if result.is_ok():
             self._node.sink.emit(
                 RequestAnswered(
@@ -298,7 +307,8 @@
                     result.ok.status,
                     progress.attempts,
                     seconds,
-                    version,
+                    progress.version,
+                    known_age_s,
                 )
             )
             return
@@ -315,7 +325,8 @@
                 progress.attempts,
                 seconds,
                 round(refusal.retry_after_s or 0.0, 3),
-                version,
+                progress.version,
+                known_age_s,
             )
         )
 
--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -166,11 +166,13 @@
         target = f"{TOPICS_PATH}{topic.value}?{query}"
         return await self._fetch(pool, peer, topic, target, POLL_TIMEOUT_S)
 
-    async def read(self, topic: Topic, after: Position) -> Batch | None:
+    async def read(
+        self, topic: Topic, after: Position
+    ) -> tuple[Batch, PeerEntry] | None:
         """Read a topic from a random peer.
 
         :param after: newest moment that this instance knows of.
-        :return: a snapshot that is not older, or ``None``.
+        :return: a snapshot that is not older, and the peer, or ``None``.
         """
         peers = self.peers()
         if not peers or topic not in RELAYED_TOPICS:
@@ -184,7 +186,7 @@
             pool.close()
         if found.is_error() or found.ok[0].position < after:
             return None
-        return found.ok[0]
+        return found.ok[0], peer
 
     def _poll_wait_s(self, topic: Topic) -> float:
         """Return how long a poll waits; its wait adds to the age that is known."""
@@ -218,8 +220,10 @@
         exchange.addTimeout(timeout_s, self._node.reactor)
         try:
             response = await exchange
-        except (ExchangeError, DeferredTimeoutError) as exc:
+        except ExchangeError as exc:
             return Error(PollFailure(str(exc)))
+        except DeferredTimeoutError:
+            return Error(PollFailure(f"no complete answer within {timeout_s} s"))
         if response.status != OK_STATUS:
             detail = f"status {response.status}"
             return Error(PollFailure(detail, response.status == REFUSED_STATUS))
--- a/packages/gateway/src/sycamorenotch_gateway/_routes.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_routes.py
@@ -72,8 +72,11 @@
         """Ask the store once, or else a peer, whether the configuration is current."""
         await self._follower.refresh(asks_store=asks_store)
 
-    def apply(self, configuration: ForwardingConfiguration) -> None:
-        """Apply a configuration if it is newer than the one in force."""
+    def apply(self, configuration: ForwardingConfiguration, era: int = 0) -> None:
+        """Apply a configuration if it is newer than the one in force.
+
+        :param era: era of the store in which it was read.
+        """
         current = self.table
         if current is not None and (
             current.configuration.version >= configuration.version
@@ -87,6 +90,8 @@
                 configuration.version,
                 configuration.revision,
                 len(configuration.routes),
+                era,
+                self._follower.source,
             )
         )
         known = 0 if current is None else len(current.customers)
@@ -115,4 +120,4 @@
                     ConfigurationRejected(item.name, item.revision, item.problem)
                 )
             elif not item.removed and item.value is not None:
-                self.apply(item.value)
+                self.apply(item.value, batch.era)
--- a/testing/platform/test_topics.py
+++ b/testing/platform/test_topics.py
@@ -16,6 +16,8 @@
 from sycamorenotch_gateway._relay import Relay
 from sycamorenotch_gateway._workers import Workers
 
+START_TIMEOUT_S = 5.0
+
 
 def test_new_configuration_is_applied(run_on_site) -> None:
     async def scenario(site) -> None:
@@ -28,6 +30,23 @@
     run_on_site(scenario)
 
 
+def test_log_tells_which_configuration_decided_on_a_request(run_on_site) -> None:
+    async def scenario(site) -> None:
+        site.store.put("config", "main", configuration(2))
+        await site.wait_until(lambda: len(site.events("configuration.applied")) == 2)
+        await site.call("/safe/1")
+        await site.call("/unknown/1")
+        applied = site.events("configuration.applied")[-1]
+        assert (applied.era, applied.source) == (1, "store")
+        (answered,) = site.events("request.answered")
+        (refused,) = site.events("request.refused")
+        for event in (answered, refused):
+            assert event.configuration == 2
+            assert 0 <= event.configuration_age_s < START_TIMEOUT_S
+
+    run_on_site(scenario)
+
+
 def test_topic_is_read_again_when_the_store_has_discarded_its_history(
     run_on_site,
 ) -> None:
