Compress the topics that instances pass on to each other

What callers saw: requests on a route that the operator had added were answered 404, up to 5 s after the change was acknowledged, where 3 s are allowed; and keys were refused for a second or two, as the configuration was too old.

Cause: a watcher sends the whole configuration to each of its followers. With 1,400 routes that is 350 KB each, and for ten followers over 5 s of a link of 5 Mbit/s. Polls were given up after 1.4 s, all topics alike, and began again from the start.

Change: the answers to polls and reads of peers are compressed with gzip if the requester accepts it; what a damaged answer may expand to is bounded.

--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -17,6 +17,9 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 
+from sycamorenotch_gateway._compression import ACCEPT_HEADER
+from sycamorenotch_gateway._compression import compress_response
+from sycamorenotch_gateway._compression import read_body
 from sycamorenotch_gateway._events import RequestRejected
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_gateway._topic_payloads import RELAYED_TOPICS
@@ -213,7 +216,8 @@
         target: str,
         timeout_s: float,
     ) -> Result[tuple[Batch, bool], PollFailure]:
-        request = HttpRequest("GET", target, (("Host", peer.gossip),))
+        headers = (("Host", peer.gossip), ACCEPT_HEADER)
+        request = HttpRequest("GET", target, headers)
         exchange: Deferred[HttpResponse] = Deferred.fromCoroutine(
             pool.exchange(request, CONNECT_TIMEOUT_S)
         )
@@ -227,7 +231,8 @@
         if response.status != OK_STATUS:
             detail = f"status {response.status}"
             return Error(PollFailure(detail, response.status == REFUSED_STATUS))
-        return decode_topic(topic, response.body).map_error(PollFailure)
+        found = read_body(response).bind(lambda body: decode_topic(topic, body))
+        return found.map_error(PollFailure)
 
     async def _serve(self, request: HttpRequest) -> HttpResponse:
         path, _, query = request.target.partition("?")
@@ -236,15 +241,15 @@
         if topic is None:
             return HttpResponse(404)
         if query:
-            return await self._serve_poll(topic, parse_qs(query))
+            return await self._serve_poll(request, topic, parse_qs(query))
         batch = self._providers[topic].snapshot()
         if batch is None:
             return HttpResponse(404)
         now = self._node.boot_clock()
-        return self._encode_topic(topic, batch, now, is_snapshot=True)
+        return self._encode_topic(request, topic, batch, now, is_snapshot=True)
 
     async def _serve_poll(
-        self, topic: Topic, query: dict[str, list[str]]
+        self, request: HttpRequest, topic: Topic, query: dict[str, list[str]]
     ) -> HttpResponse:
         arrived_at = self._node.boot_clock()
         try:
@@ -261,10 +266,18 @@
         if found is None:
             return HttpResponse(REFUSED_STATUS)
         batch, is_snapshot = found
-        return self._encode_topic(topic, batch, arrived_at, is_snapshot=is_snapshot)
+        return self._encode_topic(
+            request, topic, batch, arrived_at, is_snapshot=is_snapshot
+        )
 
     def _encode_topic(
-        self, topic: Topic, batch: Batch, arrived_at: float, *, is_snapshot: bool
+        self,
+        request: HttpRequest,
+        topic: Topic,
+        batch: Batch,
+        arrived_at: float,
+        *,
+        is_snapshot: bool,
     ) -> HttpResponse:
         """Encode items of a topic with their age when the request arrived.
 
@@ -273,9 +286,8 @@
         held_s = self._node.boot_clock() - arrived_at
         age_s = self._providers[topic].age_s - held_s
         stated = replace(batch, age_s=age_s if isfinite(age_s) else None)
-        return HttpResponse(
-            200, body=encode_topic(topic, stated, is_snapshot=is_snapshot)
-        )
+        body = encode_topic(topic, stated, is_snapshot=is_snapshot)
+        return compress_response(request, body)
 
     def _current_changes(
         self, topic: Topic, after: Position
--- a/testing/platform/proxies.py
+++ b/testing/platform/proxies.py
@@ -1,4 +1,4 @@
-"""A loopback TCP proxy that delays, resets or drops the data of connections."""
+"""A loopback TCP proxy that delays, resets, drops or slows the data of connections."""
 
 from __future__ import annotations
 
@@ -35,8 +35,11 @@
         mode = self._proxy.mode
         if mode in ("silence", self._drop_mode):
             return
-        if mode == "delay":
-            reactor.callLater(DELAY_S, self._send, data)
+        wait_s = DELAY_S if mode == "delay" else 0.0
+        if self._drop_mode == "deaf":
+            wait_s += self._proxy.reserve_link(len(data))
+        if wait_s:
+            reactor.callLater(wait_s, self._send, data)
         else:
             self._send(data)
 
@@ -81,12 +84,19 @@
 
 
 class Proxy(Factory):
-    """Forwards connections to an address, with the faults of the mode that is set."""
+    """Forwards connections to an address, with the faults of the mode that is set.
+
+    :param link_bytes_per_s: bandwidth that all data of the server share; no limit if
+        none is given.
+    """
 
     noisy = False
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, link_bytes_per_s: float | None = None) -> None:
         self.mode = ""
+        self._link_bytes_per_s = link_bytes_per_s
+        self._link_free_at = 0.0
+        self.sent_bytes = 0
         self.sides: set[_Side] = set()
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
@@ -97,6 +107,22 @@
         endpoint = self._port.getHost()
         return f"{endpoint.host}:{endpoint.port}"
 
+    async def stop(self) -> None:
+        """Stop listening, and close all connections."""
+        await self._port.stopListening()
+        for side in tuple(self.sides):
+            side.transport.abortConnection()
+
+    def reserve_link(self, size: int) -> float:
+        """Queue data of the server; return when they have passed, in seconds."""
+        self.sent_bytes += size
+        if self._link_bytes_per_s is None:
+            return 0.0
+        now = reactor.seconds()
+        start_at = max(now, self._link_free_at)
+        self._link_free_at = start_at + size / self._link_bytes_per_s
+        return self._link_free_at - now
+
     def set_mode(self, mode: str) -> None:
         self.mode = mode
         if mode == "reset":
--- a/testing/platform/test_sources.py
+++ b/testing/platform/test_sources.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 import pytest
 from testing.platform.conftest import build_gateway
 from testing.platform.conftest import configuration
+from testing.platform.conftest import route
+from testing.platform.proxies import Proxy
 from testing.platform.standins import StandInStore
 from testing.platform.standins import StandInWorker
 from twisted.internet import reactor
@@ -20,6 +23,7 @@
 from sycamorenotch_gateway._sources import Sources
 from sycamorenotch_gateway._workers import Workers
 from sycamorenotch_policies import choose_watchers
+from sycamorenotch_transport import Http1Pool
 
 SIZE = 8
 POLL_INTERVAL_S = 0.01
@@ -28,13 +32,34 @@
 # The users' bounds hold again this long after an outage of the store.
 STABLE_S = 3.0
 START_S = 4.0
+# Instances of a region, and the narrowest link of an instance, in the users' sheets.
+REGION_SIZE = 22
+NARROW_LINK_BYTES_PER_S = 5e6 / 8
+# The users' bound on a configuration where links are narrow.
+NARROW_IN_FORCE_S = 3.0
+# Routes by which a configuration may grow at once, and their options in clear.
+ADDED_ROUTES = 1_400
+ROUTE_OPTIONS = {"target_latency": "800ms", "priority": 1, "home_regions": []}
 
 
 class Fleet:
-    """Gateways of one region on one store."""
-
-    def __init__(self, main: dict[str, Any] | None = None, bounds: str = "") -> None:
+    """Gateways of one region on one store.
+
+    :param link_bytes_per_s: bandwidth of what each gateway sends to the others, and of
+        what it gets from the store; no limit if none is given.
+    """
+
+    def __init__(
+        self,
+        main: dict[str, Any] | None = None,
+        bounds: str = "",
+        size: int = SIZE,
+        link_bytes_per_s: float | None = None,
+    ) -> None:
         self.bounds = bounds
+        self._size = size
+        self._link_bytes_per_s = link_bytes_per_s
+        self._links: dict[str, Proxy] = {}
         self.store = StandInStore()
         self.store.put("config", "main", main or configuration())
         self.worker = StandInWorker("i-0")
@@ -42,21 +67,43 @@
         self.gateways: dict[str, Gateway] = {}
 
     async def start(self) -> None:
-        for number in range(SIZE):
+        for number in range(self._size):
             name = f"g-{number}"
             gateway = build_gateway(self.store, name, self.bounds)
             self.gateways[name] = gateway
+            if self._link_bytes_per_s is not None:
+                self._narrow_links(gateway)
             gateway.start()
         await self.wait_until(lambda: all(map(self.is_ready, self.gateways)), START_S)
         # The watches that were begun before the others were known end.
         self.store.cut_watches()
         await self.wait_until(lambda: len(self.watching()) == 2, START_S)
 
+    def _narrow_links(self, gateway: Gateway) -> None:
+        def link_to(address: str, server: str) -> Proxy:
+            if server not in self._links:
+                self._links[server] = Proxy(address, self._link_bytes_per_s)
+            return self._links[server]
+
+        relay, node = gateway.node.require(Relay), gateway.node
+
+        def create_pool(peer: Any) -> Http1Pool:
+            link = link_to(peer.gossip, peer.gossip)
+            return Http1Pool(reactor, link.address, node.clock)
+
+        relay._create_pool = create_pool  # type: ignore[method-assign]
+        store = link_to(
+            self.store.server.address, f"store for {node.settings.instance}"
+        )
+        node.feed._pool = Http1Pool(reactor, store.address, node.clock)
+
     async def stop(self) -> None:
         for gateway in self.gateways.values():
             await gateway.stop()
         for server in (self.store.server, self.worker.server):
             await server.stop(0)
+        for link in self._links.values():
+            await link.stop()
 
     async def wait_until(self, condition: Callable[[], bool], limit_s: float) -> None:
         for _ in range(int(limit_s / POLL_INTERVAL_S)):
@@ -101,15 +148,19 @@
             for name in (self.gateways if names is None else names)
         )
 
+    def sent_bytes(self) -> dict[str, int]:
+        """Return what passed each narrow link so far."""
+        return {server: link.sent_bytes for server, link in self._links.items()}
+
     def others(self, name: str) -> list[str]:
         return [other for other in self.gateways if other != name]
 
 
 @pytest.fixture
 def run_fleet(run_in_reactor):
-    def run(scenario) -> None:
+    def run(scenario, **options: Any) -> None:
         async def main() -> None:
-            fleet = Fleet()
+            fleet = Fleet(**options)
             try:
                 await fleet.start()
                 await scenario(fleet)
@@ -133,6 +184,27 @@
     run_fleet(scenario)
 
 
+# A watcher sent a large configuration in full to each follower, for longer than a poll
+# lasts, and the followers asked again from the start.
+def test_large_configuration_passes_narrow_links_in_time(run_fleet) -> None:
+    async def scenario(fleet) -> None:
+        large = configuration(2)
+        large["resources"] += [
+            route(f"/{Random(number).getrandbits(32):x}/", "safe", **ROUTE_OPTIONS)
+            for number in range(ADDED_ROUTES)
+        ]
+        sent_before = fleet.sent_bytes()
+        fleet.store.put("config", "main", large)
+        await fleet.wait_until(lambda: fleet.in_force(2), NARROW_IN_FORCE_S)
+        most = max(
+            sent - sent_before.get(server, 0)
+            for server, sent in fleet.sent_bytes().items()
+        )
+        assert most < NARROW_LINK_BYTES_PER_S * NARROW_IN_FORCE_S
+
+    run_fleet(scenario, size=REGION_SIZE, link_bytes_per_s=NARROW_LINK_BYTES_PER_S)
+
+
 def test_removed_and_unreadable_entries_reach_the_followers(run_fleet) -> None:
     async def scenario(fleet) -> None:
         fleet.store.put("servers", "i-bad", {"service": 5})
@@ -260,7 +332,7 @@
 def freeze(gateway: Gateway, relay: Relay, never: Deferred[None]) -> None:
     """Stop an instance with its connections open: polls get no answer."""
 
-    async def wait(topic: Any, query: Any) -> Any:
+    async def wait(request: Any, topic: Any, query: Any) -> Any:
         return await never
 
     relay._serve_poll = wait  # type: ignore[method-assign]
