Trust a restored store only when its lost writes are there again

Cause: an answer of the store was taken for proof of all that it has acknowledged. One that has come back from an older copy lacks its last writes for about two seconds. An instance that starts just then has nothing to hold against it; one that runs, and had not learned of the lost version, neither. A watcher passed on the version of the copy while it had a newer one in force, with the age of its own.

Change: answers of an era prove nothing in the first 2.2 s in which an instance knows of it, unless it is the first era. Watchers pass on what they have in force, and name its version; the age that they state counts only for an instance that has this version, which asks for all items otherwise. Items of a peer that are older in the store's history but newer by their version are applied.

--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 from math import inf
+from typing import Protocol
 from typing import final
 
 from sycamorenotch_gateway._events import StoreCallFailed
@@ -66,6 +67,19 @@
 BatchHandler = Callable[[Batch, bool], None]
 
 
+class ItemOrder(Protocol):
+    """Order of a topic's items that holds whatever the era of the store."""
+
+    @property
+    def version(self) -> int:
+        """Version of the newest item, which is in force."""
+        ...
+
+    def keep_newest(self, batch: Batch, is_snapshot: bool) -> Batch:
+        """Return a batch for peers, with the newest item in place of an older one."""
+        ...
+
+
 @final
 class Follower:
     """Follows a topic in the store, or at an instance that watches it there.
@@ -74,14 +88,22 @@
     it may not have passed on.
 
     :param handle_batch: called with each batch.
+    :param order: order of the items, for topics that have one.
     """
 
     def __init__(
-        self, node: GatewayNode, topic: Topic, handle_batch: BatchHandler
+        self,
+        node: GatewayNode,
+        topic: Topic,
+        handle_batch: BatchHandler,
+        order: ItemOrder | None = None,
     ) -> None:
         self._node = node
         self._topic = topic
         self._handle_batch = handle_batch
+        self._order = order
+        # Whether the next poll asks for all items, as a peer has a newer one.
+        self._asks_all = False
         self._loop = node.background(self._turn)
         self._revision: int | None = None
         # From where the last batch came.
@@ -140,7 +162,9 @@
 
     def snapshot(self) -> Batch | None:
         """Return all items, or ``None`` while the store does not keep them current."""
-        return None if not self.complete or self.lost else self._log.snapshot()
+        if not self.complete or self.lost:
+            return None
+        return self._newest(self._log.snapshot(), is_snapshot=True)
 
     def changes(self, after: Position) -> tuple[Batch, bool] | None:
         """Return the changes after a moment, and whether they are a snapshot.
@@ -150,7 +174,35 @@
         """
         current = self.complete and self._watching and not self.lost
         seen = after.era <= self._log.position.era
-        return self._log.since(after) if current and seen else None
+        if not current or not seen:
+            return None
+        batch, is_snapshot = self._log.since(after)
+        return self._newest(batch, is_snapshot=is_snapshot), is_snapshot
+
+    def _newest(self, batch: Batch, *, is_snapshot: bool) -> Batch:
+        return (
+            batch
+            if self._order is None
+            else self._order.keep_newest(batch, is_snapshot)
+        )
+
+    def _handle_known(self, batch: Batch) -> None:
+        """Handle items of a peer that are not later in the history of the store.
+
+        They may be newer by their own order, if the store has lost them.
+        """
+        if self._order is not None and batch.items:
+            self._handle_batch(batch, False)
+
+    def _record_statement(self, batch: Batch, sent_at: float) -> bool:
+        """Record the age that a peer states of what it has in force.
+
+        :return: whether this instance has that too.
+        """
+        if self._order is not None and batch.version > self._order.version:
+            return False
+        self._age.record_statement(batch, sent_at, self._log.position.era)
+        return True
 
     async def _turn(self) -> timedelta:
         if self._sources.waits_for_members:
@@ -166,7 +218,9 @@
     async def _follow_peer(self, source: PeerEntry) -> timedelta:
         self._watching = False
         sent_at = self._node.boot_clock()
-        found = await self._relay.poll(source, self._topic, self._log.position)
+        asked_all, self._asks_all = self._asks_all, False
+        after = Position() if asked_all else self._log.position
+        found = await self._relay.poll(source, self._topic, after)
         if found.is_error():
             self._sources.record_failure(self._topic, source, found.error)
             if not self.complete:
@@ -177,9 +231,12 @@
         batch, is_snapshot = found.ok
         if batch.position > self._log.position or not self.complete:
             self._apply(batch, is_snapshot, source.id)
-        self._age.record_statement(batch, sent_at, self._log.position.era)
+        else:
+            self.source = source.id
+            self._handle_known(batch)
+        self._asks_all = not self._record_statement(batch, sent_at)
         self._revision = self._log.position.revision
-        return NO_DELAY
+        return STARTUP_RETRY_DELAY if asked_all and self._asks_all else NO_DELAY
 
     async def _follow_store(self) -> timedelta:
         checks_store, self._checks_store = self._checks_store, False
@@ -242,22 +299,26 @@
             )
             # Meanwhile the topic may have been read again, in another era too.
             if result.is_ok() and known.era == self._log.position.era == result.ok.era:
-                if result.ok.position >= self._log.position:
-                    self._apply(result.ok, is_snapshot=False)
-                    self._age.record_store_answer(result.ok, sent_at, 0.0)
-                return
+                if result.ok.position < self._log.position:
+                    return
+                self._apply(result.ok, is_snapshot=False)
+                if self._age.record_store_answer(result.ok, sent_at, 0.0):
+                    return
         await self._read_from_peer()
 
     async def _read_from_peer(self) -> None:
         sent_at = self._node.boot_clock()
-        found = await self._relay.read(self._topic, self._log.position)
+        found = await self._relay.read(self._topic)
         if found is None:
             return
         batch, peer = found
         if batch.position > self._log.position:
             self._node.sink.emit(TopicRelayed(self._topic.value, batch.revision))
             self._apply(batch, is_snapshot=True, source=peer.id)
-        self._age.record_statement(batch, sent_at, self._log.position.era)
+        else:
+            self.source = peer.id
+            self._handle_known(batch)
+        self._record_statement(batch, sent_at)
 
     def _apply(
         self, batch: Batch, is_snapshot: bool, source: str = STORE_SOURCE
--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -169,13 +169,10 @@
         target = f"{TOPICS_PATH}{topic.value}?{query}"
         return await self._fetch(pool, peer, topic, target, POLL_TIMEOUT_S)
 
-    async def read(
-        self, topic: Topic, after: Position
-    ) -> tuple[Batch, PeerEntry] | None:
+    async def read(self, topic: Topic) -> tuple[Batch, PeerEntry] | None:
         """Read a topic from a random peer.
 
-        :param after: newest moment that this instance knows of.
-        :return: a snapshot that is not older, and the peer, or ``None``.
+        :return: a snapshot, and the peer, or ``None``.
         """
         peers = self.peers()
         if not peers or topic not in RELAYED_TOPICS:
@@ -187,9 +184,7 @@
             found = await self._fetch(pool, peer, topic, target, REQUEST_TIMEOUT_S)
         finally:
             pool.close()
-        if found.is_error() or found.ok[0].position < after:
-            return None
-        return found.ok[0], peer
+        return None if found.is_error() else (found.ok[0], peer)
 
     def _poll_wait_s(self, topic: Topic) -> float:
         """Return how long a poll waits; its wait adds to the age that is known."""
--- a/packages/gateway/src/sycamorenotch_gateway/_routes.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import ClassVar
 from typing import final
 
@@ -14,6 +15,7 @@
 from sycamorenotch_gateway._node import GatewayNode
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import ForwardingConfiguration
+from sycamorenotch_kernel import Item
 from sycamorenotch_kernel import Topic
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_policies import RouteTable
@@ -34,7 +36,9 @@
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
         self.table: RouteTable | None = None
-        self._follower = Follower(node, Topic.CONFIGURATION, self._apply_batch)
+        self._follower = Follower(node, Topic.CONFIGURATION, self._apply_batch, self)
+        # The object with the configuration in force.
+        self._item: Item | None = None
         self._listeners: list[ConfigurationListener] = []
         node.provide(Routes, self)
 
@@ -121,3 +125,26 @@
                 )
             elif not item.removed and item.value is not None:
                 self.apply(item.value, batch.era)
+                if self._item is None or item.value.version > self._item.value.version:
+                    self._item = item
+
+    def keep_newest(self, batch: Batch, is_snapshot: bool) -> Batch:
+        """Put the configuration in force in place of an older one, for peers.
+
+        A snapshot without any gets it too.
+        """
+        newest, batch = self._item, replace(batch, version=self.version)
+        if newest is None:
+            return batch
+        others = tuple(item for item in batch.items if item.name != newest.name)
+        if not is_snapshot and len(others) == len(batch.items):
+            return batch
+        current = next((i for i in batch.items if i.name == newest.name), newest)
+        if current.problem:
+            # Readers report the problem, and those without a configuration need one.
+            items = (*batch.items, newest) if is_snapshot else batch.items
+        elif current.value is None or current.value.version < newest.value.version:
+            items = (*others, newest)
+        else:
+            items = (*others, current)
+        return replace(batch, items=items)
--- a/packages/gateway/src/sycamorenotch_gateway/_topic_payloads.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_topic_payloads.py
@@ -30,6 +30,7 @@
     :param removed: names of the objects that were deleted.
     :param problems: why objects cannot be decoded, by name.
     :param revisions: revisions at which the objects were written, by name.
+    :param version: version in force at the sender, as in :class:`Batch`.
     :param age_s: age of the items when the request arrived, as in :class:`Batch`;
         unknown if an instance of an earlier release leaves it out.
     """
@@ -40,6 +41,7 @@
     removed: tuple[str, ...] = ()
     problems: dict[str, str] = field(default_factory=dict)
     revisions: dict[str, int] = field(default_factory=dict)
+    version: int = 0
     age_s: Annotated[float, Field(allow_inf_nan=False)] | None = None
 
 
@@ -83,6 +85,7 @@
         problems={i.name: i.problem for i in batch.items if i.problem},
         revisions={i.name: i.revision for i in batch.items if i.value is not None},
         items={i.name: i.value for i in batch.items if i.value is not None},
+        version=batch.version,
         age_s=batch.age_s,
     )
     return _ADAPTERS[topic].dump_json(payload)
@@ -110,4 +113,5 @@
             for name, problem in found.problems.items()
         ),
     )
-    return Ok((Batch(items, revision, found.era, found.age_s), found.snapshot))
+    batch = Batch(items, revision, found.era, found.age_s, found.version)
+    return Ok((batch, found.snapshot))
--- a/packages/kernel/src/sycamorenotch_kernel/_feeds.py
+++ b/packages/kernel/src/sycamorenotch_kernel/_feeds.py
@@ -98,12 +98,16 @@
     :param age_s: how much earlier than the call that got the batch the moment lies up
         to which it is known to include all acknowledged writes, in seconds; negative
         if that moment is later than the call, and none if the source does not say.
+    :param version: version of the newest item that a peer has in force, to which its
+        age applies, for topics whose items have an order of their own; 0 if the source
+        does not say.
     """
 
     items: tuple[Item, ...]
     revision: int
     era: int = 0
     age_s: float | None = field(default=None, compare=False)
+    version: int = field(default=0, compare=False)
 
     @property
     def position(self) -> Position:
--- a/packages/policies/src/sycamorenotch_policies/customers/__init__.py
+++ b/packages/policies/src/sycamorenotch_policies/customers/__init__.py
@@ -12,11 +12,13 @@
 from sycamorenotch_policies.customers._index import CustomerIndex
 from sycamorenotch_policies.customers._index import IdentifiedCaller
 from sycamorenotch_policies.customers._index import Unidentified
+from sycamorenotch_policies.customers._lost_writes import LostWrites
 
 __all__ = [
     "CustomerIndex",
     "IdentifiedCaller",
     "KeyAgeLimits",
+    "LostWrites",
     "ProvenAge",
     "Unidentified",
     "empty_watch_proof",
--- a/testing/platform/test_endless.py
+++ b/testing/platform/test_endless.py
@@ -123,7 +123,7 @@
     async def scenario(site) -> None:
         relay = site.gateway.node.require(Relay)
         relay.peers = lambda: (peer,)
-        assert await relay.read(Topic.WORKERS, 0) is None
+        assert await relay.read(Topic.WORKERS) is None
         await site.wait_until(lambda: not server.answering)
         assert (await site.call()).status == 200
 
--- a/testing/platform/test_restored_store.py
+++ b/testing/platform/test_restored_store.py
@@ -5,14 +5,25 @@
 import time
 
 import pytest
+from testing.platform.conftest import build_gateway
 from testing.platform.conftest import configuration
 from testing.platform.conftest import route
 from testing.platform.standins import StandInStore
 from testing.platform.standins import StandInWorker
+from testing.platform.test_customers import CLOSED
+from testing.platform.test_customers import KEY
+from testing.platform.test_customers import MAIN
+from testing.platform.test_customers import OTHER_KEY
+from testing.platform.test_customers import REVOCATION_S
+from testing.platform.test_customers import call
+from testing.platform.test_customers import tenant
+from testing.platform.test_customers import with_tenants
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 
 from sycamorenotch_gateway._peers import Peers
+from sycamorenotch_gateway._routes import Routes
+from sycamorenotch_kernel import Position
 from sycamorenotch_kernel import Topic
 from sycamorenotch_kernel import object_feeds
 
@@ -22,6 +33,9 @@
 STABILITY_WINDOW_S = 4.0
 # What was lost is written again within two seconds of the store's return.
 REWRITE_S = 0.5
+# The latest moment at which it is written again, after the store's return.
+LATEST_REWRITE_S = 2.0
+REVOKED = with_tenants(tenant("acme"), tenant("bolt", OTHER_KEY), version=2)
 
 
 async def pause(seconds: float) -> None:
@@ -250,3 +264,79 @@
         await store.server.stop(0)
 
     run_in_reactor(scenario())
+
+
+async def statuses(site, key: str, seconds: float) -> set[int]:
+    """Return how requests with a key are answered for some time."""
+    seen = set()
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        seen.add((await call(site, key)).status)
+        await pause(0.05)
+    return seen
+
+
+# An instance that started as the store came back from an older copy took what it read
+# for current, and ran requests with a key that had been taken away (review case 8).
+@pytest.mark.parametrize("with_peer", [True, False])
+def test_instance_that_starts_on_a_restored_store_accepts_no_revoked_key(
+    run_on_site, with_peer
+) -> None:
+    async def scenario(site) -> None:
+        copy = site.store.copy()
+        site.store.put("config", "main", REVOKED)
+        await wait_for_version(site, 2)
+        await pause(REVOCATION_S)
+        if not with_peer:
+            await site.gateway.stop()
+        site.store.restore(copy)
+        first, site.gateway = site.gateway, build_gateway(site.store, "new", CLOSED)
+        site.gateway.start()
+        try:
+            assert not {200} & await statuses(site, KEY, LATEST_REWRITE_S)
+            site.store.put("config", "main", REVOKED)
+            assert not {200} & await statuses(site, KEY, STABILITY_WINDOW_S)
+            assert await statuses(site, OTHER_KEY, 0.5) == {200}
+        finally:
+            await first.stop()
+
+    run_on_site(scenario, main=MAIN, options={"bounds": CLOSED})
+
+
+# A watcher passed on what the restored store held, and the age of what it had in force.
+def test_watcher_passes_on_the_configuration_in_force(run_on_site) -> None:
+    async def scenario(site) -> None:
+        copy = site.store.copy()
+        site.store.put("config", "main", REVOKED)
+        await wait_for_version(site, 2)
+        site.store.restore(copy)
+        await wait_for_era(site, "configuration")
+        follower = site.gateway.node.require(Routes)._follower
+        (item,) = follower.snapshot().items
+        assert item.value.version == 2
+        (batch, is_snapshot) = follower.changes(Position())
+        assert is_snapshot
+        assert [item.value.version for item in batch.items] == [2]
+
+    run_on_site(scenario, main=MAIN, options={"bounds": CLOSED})
+
+
+# An instance that had not learned of a version before the store lost it took the copy
+# for current, and went on to run requests with a key that was taken away.
+def test_key_stops_when_the_store_lost_its_revocation_unseen(run_on_site) -> None:
+    async def scenario(site) -> None:
+        copy = site.store.copy()
+        site.store.down = True
+        site.store.cut_watches(503)
+        site.store.put("config", "main", REVOKED)
+        site.store.restore(copy)
+        await pause(REVOCATION_S - REWRITE_S)
+        site.store.down = False
+        await pause(REWRITE_S)
+        # Sent later than the bound after the acknowledgement.
+        assert not {200} & await statuses(site, KEY, LATEST_REWRITE_S - REWRITE_S)
+        site.store.put("config", "main", REVOKED)
+        assert not {200} & await statuses(site, KEY, STABILITY_WINDOW_S)
+        assert await statuses(site, OTHER_KEY, 0.5) == {200}
+
+    run_on_site(scenario, main=MAIN, options={"bounds": CLOSED})
--- a/testing/policies/test_customers.py
+++ b/testing/policies/test_customers.py
@@ -18,6 +18,7 @@
 from sycamorenotch_policies import RouteTable
 from sycamorenotch_policies.customers import CustomerIndex
 from sycamorenotch_policies.customers import KeyAgeLimits
+from sycamorenotch_policies.customers import LostWrites
 from sycamorenotch_policies.customers import ProvenAge
 from sycamorenotch_policies.customers import Unidentified
 from sycamorenotch_policies.customers import empty_watch_proof
@@ -140,3 +141,38 @@
     next_s = limits.watch_wait_s(after_change_s) + transit_s
     oldest_s = after_change_s + next_s + limits.poll_wait_s + 2 * transit_s
     assert oldest_s < limits.refuse_from_s < revocation_s
+
+
+REWRITE_S = 2.2
+
+
+def test_first_era_includes_all_writes_at_once() -> None:
+    lost = LostWrites()
+    assert not lost.observe(1, 10.0)
+    assert lost.includes_all(1, 10.0)
+
+
+def test_store_that_states_no_era_is_trusted() -> None:
+    lost = LostWrites()
+    assert not lost.observe(0, 10.0)
+    assert not lost.observe(1, 11.0)
+    assert lost.includes_all(1, 11.0)
+
+
+@pytest.mark.parametrize("known_eras", [(), (1,), (1, 2)])
+def test_later_era_includes_all_writes_after_they_are_written_again(known_eras) -> None:
+    """Guards against trust in a store that has just come back from an older copy."""
+    lost = LostWrites()
+    for era in known_eras:
+        lost.observe(era, 0.0)
+    assert lost.observe(3, 10.0)
+    assert not lost.observe(3, 11.0)
+    assert not lost.includes_all(3, 10.0 + REWRITE_S - 0.01)
+    assert lost.includes_all(3, 10.0 + REWRITE_S)
+
+
+def test_late_answer_of_an_older_era_proves_nothing() -> None:
+    lost = LostWrites()
+    lost.observe(2, 0.0)
+    assert not lost.observe(1, 100.0)
+    assert not lost.includes_all(1, 100.0)
