Let instances with wide links watch the store for the others

What callers saw: with a configuration of 1,400 routes, answers to requests at a watcher itself waited behind what it sends to its followers, and versions reached the last instance 2.5 s after the acknowledgement, of 3 s that are allowed.

Cause: the watchers of a region were chosen by a hash alone.

Change: instances whose links have at least half of the region's widest rate are preferred, and among them the hash decides as before. Heartbeats carry the rate already. With equal links the watchers stay the same.

--- a/packages/gateway/src/sycamorenotch_gateway/_peers.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_peers.py
@@ -73,6 +73,7 @@
             heartbeat.entry for heartbeat in self.failure_detector.serving(node.clock())
         )
         self._relay.live = lambda: self.failure_detector.live(node.clock())
+        self._relay.capacities = self.failure_detector.capacities
         self._relay.is_alone = lambda: (
             self._entries_read and not self.failure_detector.recipients()
         )
--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
 from dataclasses import replace
 from math import isfinite
@@ -29,6 +30,7 @@
 from sycamorenotch_kernel import Batch
 from sycamorenotch_kernel import PeerEntry
 from sycamorenotch_kernel import Position
+from sycamorenotch_kernel import Resources
 from sycamorenotch_kernel import Topic
 from sycamorenotch_kernel import gateway_components
 from sycamorenotch_transport import ExchangeError
@@ -107,10 +109,11 @@
             schedule=node.require(Turns).schedule,
         )
         # Set by the components that know: peers that take requests, peers that live,
-        # whether there are none, whether this instance is current with the store, and
-        # whether it has just started.
+        # capacities of peers, whether there are none, whether this instance is current
+        # with the store, and whether it has just started.
         self.peers: Callable[[], tuple[PeerEntry, ...]] = tuple
         self.live: Callable[[], tuple[PeerEntry, ...]] = tuple
+        self.capacities: Callable[[], Mapping[str, Resources]] = dict
         self.is_alone: Callable[[], bool] = lambda: False
         self.is_current: Callable[[], bool] = lambda: False
         self.is_starting: Callable[[], bool] = lambda: False
--- a/packages/gateway/src/sycamorenotch_gateway/_sources.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_sources.py
@@ -124,7 +124,14 @@
         region = self._node.settings.placement.region
         live = self._relay.live()
         self._members = {entry.id: entry for entry in live if entry.region == region}
-        self._sources.set_members(self._members.keys())
+        capacities = self._relay.capacities()
+        links_mbps = {
+            name: capacities[name].link_mbps
+            for name in self._members.keys() & capacities.keys()
+        }
+        own = self._node.settings
+        links_mbps[own.instance] = own.resources.link_mbps
+        self._sources.set_members(self._members.keys(), links_mbps)
 
     async def _pulse_turn(self) -> timedelta:
         self._update_members()
--- a/packages/policies/src/sycamorenotch_policies/_liveness.py
+++ b/packages/policies/src/sycamorenotch_policies/_liveness.py
@@ -186,6 +186,13 @@
             and not received.heartbeat.entry.leaving
         )
 
+    def capacities(self) -> dict[str, Resources]:
+        """Return the capacities of the other instances, by their identifiers."""
+        return {
+            received.heartbeat.entry.id: received.heartbeat.capacity
+            for received in self._received.values()
+        }
+
     def serving(self, now: float) -> tuple[Heartbeat, ...]:
         """Return the newest heartbeats of the others that accept requests."""
         live = {entry.id for entry in self.live(now)}
--- a/packages/policies/src/sycamorenotch_policies/_topic_sources.py
+++ b/packages/policies/src/sycamorenotch_policies/_topic_sources.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from collections.abc import Mapping
 from math import ceil
+from math import inf
+from types import MappingProxyType
 from typing import final
 
 from sycamorenotch_kernel import InstanceId
 from sycamorenotch_policies._rendezvous import highest
+from sycamorenotch_policies._rendezvous import weight
 
 # Two in each region, so that one stays when the other is lost.
 MIN_WATCHERS = 2
@@ -15,24 +19,38 @@
 FOLLOWERS_PER_WATCHER = 48
 # In a smaller region, watching for others costs as many calls as it saves.
 MIN_RELAYED_MEMBERS = 6
+# Links of at least this fraction of the widest one are preferred for watching: each
+# change passes a watcher's link once for each of its followers.
+WIDE_LINK_FRACTION = 0.5
 # A watcher that did not answer is not polled for this time.
 SUSPICION_S = 5.0
 # One that refused, because it is not current itself, may be so again soon.
 REFUSAL_SUSPICION_S = 0.5
 
 
-def choose_watchers(members: Collection[str]) -> frozenset[str]:
+def choose_watchers(
+    members: Collection[str], links_mbps: Mapping[str, float] = MappingProxyType({})
+) -> frozenset[str]:
     """Return the instances of a region that watch the store for all of them.
 
-    Instances that agree on the members agree on the watchers, and a member that
-    joins or leaves replaces at most one of them.
+    Instances that agree on the members agree on the watchers. While the widest link
+    stays, a member that joins or leaves replaces at most one of them.
 
     :param members: identifiers of the live instances.
+    :param links_mbps: bandwidth of their links in Mbit/s; one that is not known counts
+        as wide.
     """
     if len(members) < MIN_RELAYED_MEMBERS:
         return frozenset(members)
     count = max(MIN_WATCHERS, ceil(len(members) / FOLLOWERS_PER_WATCHER))
-    return frozenset(highest("watch", map(InstanceId, members), count))
+    known = (links_mbps[name] for name in members if name in links_mbps)
+    wide_mbps = WIDE_LINK_FRACTION * max(known, default=0.0)
+
+    def rank(name: str) -> tuple[bool, bytes, str]:
+        is_wide = links_mbps.get(name, inf) >= wide_mbps
+        return is_wide, weight("watch", InstanceId(name)), name
+
+    return frozenset(sorted(members, key=rank, reverse=True)[:count])
 
 
 @final
@@ -47,15 +65,23 @@
     def __init__(self, own_id: str) -> None:
         self._own_id = own_id
         self._members: frozenset[str] = frozenset({own_id})
+        self._links_mbps: Mapping[str, float] = {}
         self._watchers: frozenset[str] = frozenset({own_id})
         self._suspect_until: dict[str, float] = {}
 
-    def set_members(self, others: Collection[str]) -> None:
-        """Set the other live instances of the region."""
+    def set_members(
+        self,
+        others: Collection[str],
+        links_mbps: Mapping[str, float] = MappingProxyType({}),
+    ) -> None:
+        """Set the other live instances of the region.
+
+        :param links_mbps: bandwidth of all links in Mbit/s, that of this one included.
+        """
         members = frozenset(others) | {self._own_id}
-        if members != self._members:
-            self._members = members
-            self._watchers = choose_watchers(members)
+        if members != self._members or links_mbps != self._links_mbps:
+            self._members, self._links_mbps = members, links_mbps
+            self._watchers = choose_watchers(members, links_mbps)
 
     @property
     def watches(self) -> bool:
--- a/testing/policies/test_topic_sources.py
+++ b/testing/policies/test_topic_sources.py
@@ -86,3 +86,24 @@
     assert serving == choose_watchers(members)
     small = members_of(4)
     assert not any(source_of(name, small).serves_others for name in small)
+
+
+def test_members_with_wide_links_watch() -> None:
+    """Guards against watchers whose links a large configuration fills for seconds."""
+    members = members_of(20)
+    wide = frozenset(sorted(members)[:4])
+    links_mbps = {name: 100.0 if name in wide else 5.0 for name in members}
+    watchers = choose_watchers(members, links_mbps)
+    assert len(watchers) == 2
+    assert watchers <= wide
+    # Those of the others that are left watch when too few links are wide.
+    left = members - (wide - {min(watchers)})
+    assert min(watchers) in choose_watchers(left, links_mbps)
+    assert len(choose_watchers(left, links_mbps)) == 2
+
+
+def test_links_of_equal_width_leave_the_choice_as_it_was() -> None:
+    members = members_of(20)
+    assert choose_watchers(members, dict.fromkeys(members, 10.0)) == choose_watchers(
+        members
+    )
