Trust a store that states no era

All stand-ins state an era.

Change: the first answer's era is the known one, whichever it is; a rise from none waits.

Result: a test with a stand-in that states no era failed before (503) and passes, and 28 tests of customers and restored stores pass.

--- a/packages/policies/src/sycamorenotch_policies/customers/_lost_writes.py
+++ b/packages/policies/src/sycamorenotch_policies/customers/_lost_writes.py
@@ -9,7 +9,7 @@
 # covers the delay of the watch.
 REWRITE_S = 2.2
 # Era of a store that never came back from an older copy. One that does not state its
-# era counts as such.
+# era, which counts as 0, is trusted from the start too.
 FIRST_ERA = 1
 
 
@@ -23,7 +23,8 @@
     """
 
     def __init__(self) -> None:
-        self._era = FIRST_ERA
+        # None before the first answer.
+        self._era: int | None = None
         self._complete_from = -inf
 
     def observe(self, era: int, now: float) -> bool:
@@ -31,9 +32,11 @@
 
         :return: whether the store may have lost writes since the last one.
         """
-        if era <= self._era:
+        known, newest = self._era, era if self._era is None else max(self._era, era)
+        self._era = newest
+        if newest == known or (known is None and newest <= FIRST_ERA):
             return False
-        self._era, self._complete_from = era, now + REWRITE_S
+        self._complete_from = now + REWRITE_S
         return True
 
     def includes_all(self, era: int, produced_at: float) -> bool:
@@ -42,4 +45,4 @@
         :param era: era of the answer, which was recorded.
         :param produced_at: when the store produced the answer.
         """
-        return era >= self._era and produced_at >= self._complete_from
+        return era == self._era and produced_at >= self._complete_from
--- a/testing/platform/standins.py
+++ b/testing/platform/standins.py
@@ -56,6 +56,7 @@
 
     def __init__(self) -> None:
         self.era = 1
+        self.states_era = True
         self.revision = 10
         self.oldest = 10
         self.down = False
@@ -126,8 +127,8 @@
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         answer = await self._answer(request)
-        headers = (*answer.headers, ("Store-Era", str(self.era)))
-        return replace(answer, headers=headers)
+        era = (("Store-Era", str(self.era)),) if self.states_era else ()
+        return replace(answer, headers=(*answer.headers, *era))
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         path, _, text = request.target.partition("?")
--- a/testing/platform/test_customers.py
+++ b/testing/platform/test_customers.py
@@ -9,6 +9,7 @@
 import orjson
 import pytest
 from testing.platform.conftest import Site
+from testing.platform.conftest import build_gateway
 from testing.platform.conftest import configuration
 from testing.platform.conftest import route
 from testing.platform.test_sources import Fleet
@@ -240,6 +241,24 @@
     run_on_site(scenario, main=MAIN, options={"bounds": CLOSED})
 
 
+# The era of a store that states none was taken for an older one, whose answers prove
+# nothing.
+def test_keys_are_accepted_when_the_store_states_no_era(run_on_site) -> None:
+    async def scenario(site: Site) -> None:
+        site.store.states_era = False
+        gateway = build_gateway(site.store, "new", CLOSED)
+        gateway.start()
+        first, site.gateway = site.gateway, gateway
+        try:
+            await site.wait_until_ready()
+            assert (await call(site, KEY)).status == 200
+            assert site.events("customers.keys-refused") == []
+        finally:
+            await first.stop()
+
+    run_on_site(scenario, main=MAIN, options={"bounds": CLOSED})
+
+
 def test_instance_that_was_suspended_refuses_keys_when_it_wakes(run_on_site) -> None:
     """Guards against an age on a clock that stops while a machine is suspended."""
     suspended_s = [0.0]
