Go on with an answer that makes progress

What callers saw: a version came late to instances behind narrow links, and never while the network was busy with transfers that were given up.

Cause: polls of peers and calls to the store had a limit on the whole exchange, 1.2 to 3 s. A large answer on a narrow link was given up and sent again from the start, which kept the link full. The class: a bound on the time of a whole message, where only its beginning and its pauses tell whether the other side is there.

--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -38,6 +38,7 @@
 from sycamorenotch_transport import Http1Server
 from sycamorenotch_transport import HttpRequest
 from sycamorenotch_transport import HttpResponse
+from sycamorenotch_transport import ResponseTimeout
 
 TOPICS_PATH = "/v1/topics/"
 ACCEPT_BACKLOG = 64
@@ -48,6 +49,10 @@
 # gone or frozen is noticed soon after.
 POLL_WAIT_S = 1.0
 POLL_TIMEOUT_S = 1.4
+# An answer that has begun may take longer, as a large one does on a narrow link, while
+# no pause between its pieces is longer than the first.
+MAX_PAUSE_S = 0.8
+TRANSFER_TIMEOUT_S = 4.0
 OK_STATUS = 200
 # Of an instance that is not current with the store.
 REFUSED_STATUS = 503
@@ -216,16 +221,21 @@
     ) -> Result[tuple[Batch, bool], PollFailure]:
         headers = (("Host", peer.gossip), ACCEPT_HEADER)
         request = HttpRequest("GET", target, headers)
+        timeout = ResponseTimeout(
+            self._node.reactor, timeout_s, MAX_PAUSE_S, TRANSFER_TIMEOUT_S
+        )
         exchange: Deferred[HttpResponse] = Deferred.fromCoroutine(
-            pool.exchange(request, CONNECT_TIMEOUT_S)
+            pool.exchange(
+                request, CONNECT_TIMEOUT_S, on_received=timeout.record_progress
+            )
         )
-        exchange.addTimeout(timeout_s, self._node.reactor)
         try:
-            response = await exchange
+            response = await timeout.watch(exchange)
         except ExchangeError as exc:
             return Error(PollFailure(str(exc)))
         except DeferredTimeoutError:
-            return Error(PollFailure(f"no complete answer within {timeout_s} s"))
+            detail = f"no answer within {timeout_s} s, or it paused"
+            return Error(PollFailure(detail))
         if response.status != OK_STATUS:
             detail = f"status {response.status}"
             return Error(PollFailure(detail, response.status == REFUSED_STATUS))
--- a/packages/transport/src/sycamorenotch_transport/__init__.py
+++ b/packages/transport/src/sycamorenotch_transport/__init__.py
@@ -30,6 +30,7 @@
     from sycamorenotch_transport._resolver import install_literal_resolver
     from sycamorenotch_transport._response_buffers import ResponseBuffers
     from sycamorenotch_transport._response_buffers import ResponseLimits
+    from sycamorenotch_transport._response_timeout import ResponseTimeout
     from sycamorenotch_transport._turn_schedule import TurnSchedule
 
 # Modules are imported on first use, so that a gateway does not load the Twisted Web
@@ -55,6 +56,7 @@
     "probe_address": "_probe",
     "ResponseMatch": "_http1_client",
     "ResponseLimits": "_response_buffers",
+    "ResponseTimeout": "_response_timeout",
     "TurnSchedule": "_turn_schedule",
     "get_header": "_http1_messages",
     "install_literal_resolver": "_resolver",
@@ -81,6 +83,7 @@
     "ResponseBuffers",
     "ResponseLimits",
     "ResponseMatch",
+    "ResponseTimeout",
     "TurnSchedule",
     "get_header",
     "install_literal_resolver",
--- a/packages/transport/src/sycamorenotch_transport/_http1_client.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_client.py
@@ -90,7 +90,7 @@
 
 
 def do_nothing() -> None:
-    """Ignore the start of a response."""
+    """Ignore that bytes of a response arrive."""
 
 
 @final
@@ -117,7 +117,7 @@
         )
         self._pending: Deferred[HttpResponse] | None = None
         self._matches: ResponseMatcher = match_any
-        self._on_response_started: Callable[[], None] = do_nothing
+        self._on_received: Callable[[], None] = do_nothing
         self._sent_head: h11.Request | None = None
         self._sender: BodySender | None = None
         self._head: h11.Response | None = None
@@ -140,18 +140,18 @@
         self,
         request: HttpRequest,
         matches: ResponseMatcher,
-        on_response_started: Callable[[], None],
+        on_received: Callable[[], None],
     ) -> Deferred[HttpResponse]:
         """Send a request.
 
         Cancelling the result aborts the connection.
 
         :param matches: whether a response is the one to this request.
-        :param on_response_started: called at the first bytes that arrive.
+        :param on_received: called whenever bytes of a response arrive.
         :return: fires with the response, or fails with ``ExchangeError``.
         """
         self._matches = matches
-        self._on_response_started = on_response_started
+        self._on_received = on_received
         self._response_started = False
         self._informational = self._discarded = 0
         pending: Deferred[HttpResponse] = Deferred(lambda _: self._cancel())
@@ -173,9 +173,8 @@
             # Unsolicited data would be taken for the response to the next request.
             self.abort()
             return
-        if not self._response_started:
-            self._response_started = True
-            self._on_response_started()
+        self._response_started = True
+        self._on_received()
         self._http.receive_data(data)
         if not self._paused:
             self._parse_turn()
@@ -213,7 +212,7 @@
         if sender is not None:
             sender.stopProducing()
         # The matcher refers to the request.
-        self._matches, self._on_response_started = match_any, do_nothing
+        self._matches, self._on_received = match_any, do_nothing
         self._sent_head = self._head = None
 
     def _cancel(self) -> None:
--- a/packages/transport/src/sycamorenotch_transport/_http1_pool.py
+++ b/packages/transport/src/sycamorenotch_transport/_http1_pool.py
@@ -90,7 +90,7 @@
         connect_timeout_s: float,
         matches: ResponseMatcher = match_any,
         max_idle_s: float = 1e9,
-        on_response_started: Callable[[], None] = do_nothing,
+        on_received: Callable[[], None] = do_nothing,
         *,
         reuse: bool = True,
     ) -> HttpResponse:
@@ -100,7 +100,7 @@
         :param matches: whether a response is the one to this request.
         :param max_idle_s: connections that were idle for longer are not reused, in
             addition to each connection's own limit.
-        :param on_response_started: called at the first bytes that arrive.
+        :param on_received: called whenever bytes of a response arrive.
         :param reuse: whether the request may go out on a connection that has served
             others.
         :raises ExchangeError: if no complete response arrives.
@@ -108,7 +108,7 @@
         connection = self._acquire_idle(max_idle_s) if reuse else None
         if connection is None:
             connection = await self._open(connect_timeout_s)
-        return await connection.exchange(request, matches, on_response_started)
+        return await connection.exchange(request, matches, on_received)
 
     def close(self) -> None:
         """Close idle connections now, and those in use after their exchange."""
