--- a/packages/gateway/src/sycamorenotch_gateway/_follower.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_follower.py
@@ -52,6 +52,8 @@
 # Shorter watches would be calls in quick succession.
 MIN_WATCH_TIMEOUT_S = 2.5
 STARTUP_POLL_INTERVAL = timedelta(seconds=0.05)
+# Delay before a peer that gave all its items is asked for all of them again.
+ASK_ALL_DELAY = timedelta(seconds=0.1)
 # Delay before an instance that has nothing yet asks again.
 STARTUP_RETRY_DELAY = timedelta(seconds=0.1)
 
@@ -60,7 +62,7 @@
 # watch.
 ENTRY_RETURN_GRACE_S = 2.2
 
-# Source of what no instance has passed on.
+# Name of the store as a source, beside the identifiers of instances.
 STORE_SOURCE = "store"
 
 # Receives a batch, and whether it is a snapshot of the whole topic.
@@ -180,11 +182,9 @@
         return self._newest(batch, is_snapshot=is_snapshot), is_snapshot
 
     def _newest(self, batch: Batch, *, is_snapshot: bool) -> Batch:
-        return (
-            batch
-            if self._order is None
-            else self._order.keep_newest(batch, is_snapshot)
-        )
+        if self._order is None:
+            return batch
+        return self._order.keep_newest(batch, is_snapshot)
 
     def _handle_known(self, batch: Batch) -> None:
         """Handle items of a peer that are not later in the history of the store.
@@ -236,7 +236,7 @@
             self._handle_known(batch)
         self._asks_all = not self._record_statement(batch, sent_at)
         self._revision = self._log.position.revision
-        return STARTUP_RETRY_DELAY if asked_all and self._asks_all else NO_DELAY
+        return ASK_ALL_DELAY if asked_all and self._asks_all else NO_DELAY
 
     async def _follow_store(self) -> timedelta:
         checks_store, self._checks_store = self._checks_store, False
--- a/packages/gateway/src/sycamorenotch_gateway/_relay.py
+++ b/packages/gateway/src/sycamorenotch_gateway/_relay.py
@@ -49,8 +49,8 @@
 # gone or frozen is noticed soon after.
 POLL_WAIT_S = 1.0
 POLL_TIMEOUT_S = 1.4
-# An answer that has begun may take longer, as a large one does on a narrow link, while
-# no pause between its pieces is longer than the first.
+# An answer that has begun may take longer, as a large one does on a narrow link: up to
+# these limits on a pause between its pieces, and on the whole exchange.
 MAX_PAUSE_S = 0.8
 TRANSFER_TIMEOUT_S = 4.0
 OK_STATUS = 200
