Test that a stated age counts only for the version that it is of

A follower at the position of its watcher, with an older version, has to ask for all items before it takes over the age.

--- a/testing/gateway/test_follower.py
+++ b/testing/gateway/test_follower.py
@@ -24,7 +24,9 @@
 from sycamorenotch_kernel import EventList
 from sycamorenotch_kernel import FeedError
 from sycamorenotch_kernel import FeedFault
+from sycamorenotch_kernel import Item
 from sycamorenotch_kernel import PeerEntry
+from sycamorenotch_kernel import Position
 from sycamorenotch_kernel import Topic
 from sycamorenotch_kernel import dialects
 from sycamorenotch_policies import choose_watchers
@@ -48,6 +50,8 @@
         self.polls = 0
         # Age that the watchers state.
         self.age_s: float | None = None
+        # Version that the watchers have in force, and state.
+        self.version = 0
         self.era = 1
 
     async def read(self, topic: Topic, *, fresh: bool):
@@ -60,7 +64,10 @@
         self.polls += 1
         if self.down:
             return Error(PollFailure("status 503", refused=True))
-        return Ok((Batch((), REVISION, self.era, self.age_s), False))
+        asks_all = after == Position()
+        items = (Item("main", REVISION, self.version),) if asks_all else ()
+        batch = Batch(items, REVISION, self.era, self.age_s, self.version)
+        return Ok((batch, asks_all))
 
     def _answer(self):
         self.calls += 1
@@ -69,10 +76,23 @@
         return Ok(Batch((), REVISION, self.era))
 
 
+class Newest:
+    """Order of items whose values are their versions; holds the newest one."""
+
+    def __init__(self) -> None:
+        self.version = 0
+
+    def keep_newest(self, batch: Batch, is_snapshot: bool) -> Batch:
+        return batch
+
+    def handle_batch(self, batch: Batch, is_snapshot: bool) -> None:
+        self.version = max([self.version, *(item.value for item in batch.items)])
+
+
 class Harness:
     """A follower of a topic in a region of eight instances on a simulated clock."""
 
-    def __init__(self) -> None:
+    def __init__(self, order: Newest | None = None) -> None:
         self.reactor = MemoryReactorClock()
         self.store = Store()
         name = min(set(MEMBERS) - choose_watchers(MEMBERS))
@@ -98,7 +118,12 @@
         )
         relay.poll = self.poll
         Sources(node)
-        self.follower = Follower(node, Topic.WORKERS, lambda batch, is_snapshot: None)
+        self.follower = Follower(
+            node,
+            Topic.WORKERS,
+            (lambda *_: None) if order is None else order.handle_batch,
+            order,
+        )
         self.follower.start()
 
     async def poll(self, peer: PeerEntry, topic: Topic, after: int):
@@ -190,3 +215,23 @@
     Deferred.fromCoroutine(harness.follower.refresh(asks_store=asks_store))
     assert harness.store.calls - calls == asks_store
     assert (harness.follower.age_s < STEP_S) is proven
+
+
+# A follower that had read an older version from a restored store took the age that its
+# watcher stated for a newer one.
+def test_age_of_a_newer_version_counts_once_it_is_in_force() -> None:
+    order = Newest()
+    harness = Harness(order)
+    harness.store.age_s = 0.25
+    harness.advance(5.0)
+    polls, harness.store.version = harness.store.polls, 2
+    while harness.store.polls == polls:
+        harness.advance(STEP_S)
+    # The poll that states the newer version, at the same position, proves nothing.
+    assert order.version == 0
+    assert harness.follower.age_s > POLL_S + 0.25
+    harness.advance(POLL_S + STEP_S)
+    assert order.version == 2
+    assert harness.follower.age_s == pytest.approx(POLL_S + 0.25, abs=3 * STEP_S)
+    # All items are asked for once, not with each poll.
+    assert harness.store.polls <= polls + 3
