--- a/testing/processes/test_processes.py
+++ b/testing/processes/test_processes.py
@@ -112,10 +112,12 @@
 
 def wait_for_start(process: subprocess.Popen[str]) -> None:
     assert process.stderr is not None
+    lines = []
     for line in process.stderr:
         if "daemon.started" in line:
             return
-    raise AssertionError("the daemon ended before it had started")
+        lines.append(line)
+    raise AssertionError(f"the daemon ended before it had started: {lines}")
 
 
 def start_daemon(
