--- a/testing/platform/proxies.py
+++ b/testing/platform/proxies.py
@@ -14,6 +14,8 @@
 # once.
 MODES = ("delay", "reset", "silence", "deaf", "mute")
 DELAY_S = 0.2
+# Size in which data passes a link of limited bandwidth.
+PACKET_BYTES = 1_460
 
 
 class _Side(Protocol):
@@ -35,13 +37,12 @@
         mode = self._proxy.mode
         if mode in ("silence", self._drop_mode):
             return
-        wait_s = DELAY_S if mode == "delay" else 0.0
-        if self._drop_mode == "deaf":
-            wait_s += self._proxy.reserve_link(len(data))
-        if wait_s:
-            reactor.callLater(wait_s, self._send, data)
-        else:
-            self._send(data)
+        delay_s = DELAY_S if mode == "delay" else 0.0
+        if self._drop_mode != "deaf":
+            self._send_after(delay_s, data)
+            return
+        for piece in self._proxy.split(data):
+            self._send_after(delay_s + self._proxy.reserve_link(len(piece)), piece)
 
     def join(self, other: _Side) -> None:
         self.other = other
@@ -49,6 +50,12 @@
         for data in buffered:
             self.dataReceived(data)
 
+    def _send_after(self, delay_s: float, data: bytes) -> None:
+        if delay_s:
+            reactor.callLater(delay_s, self._send, data)
+        else:
+            self._send(data)
+
     def _send(self, data: bytes) -> None:
         if self.other is not None and self.other.transport is not None:
             self.other.transport.write(data)
@@ -94,7 +101,7 @@
 
     def __init__(self, target: str, link_bytes_per_s: float | None = None) -> None:
         self.mode = ""
-        self._link_bytes_per_s = link_bytes_per_s
+        self.link_bytes_per_s = link_bytes_per_s
         self._link_free_at = 0.0
         self.sent_bytes = 0
         self.sides: set[_Side] = set()
@@ -113,14 +120,20 @@
         for side in tuple(self.sides):
             side.transport.abortConnection()
 
+    def split(self, data: bytes) -> list[bytes]:
+        """Return data as it passes the link; without a limit, in one piece."""
+        if self.link_bytes_per_s is None:
+            return [data]
+        return [data[n : n + PACKET_BYTES] for n in range(0, len(data), PACKET_BYTES)]
+
     def reserve_link(self, size: int) -> float:
         """Queue data of the server; return when they have passed, in seconds."""
         self.sent_bytes += size
-        if self._link_bytes_per_s is None:
+        if self.link_bytes_per_s is None:
             return 0.0
         now = reactor.seconds()
         start_at = max(now, self._link_free_at)
-        self._link_free_at = start_at + size / self._link_bytes_per_s
+        self._link_free_at = start_at + size / self.link_bytes_per_s
         return self._link_free_at - now
 
     def set_mode(self, mode: str) -> None:
