Draw the ports of both daemons of a test together

Cause: the fixture drew three free ports for each of two daemons apart, and both draws could have a port in common, 9 in 20,000 setups.

Change: six ports are drawn at once.

--- a/testing/processes/test_processes.py
+++ b/testing/processes/test_processes.py
@@ -153,7 +153,9 @@
 
         serve = ["-m", "sycamorenotch_standins.serve"]
         upstream = ready_url(running(start([*serve, "--role=upstream"])))
-        ports = [free_ports(3), free_ports(3)]
+        # Drawn together, as two draws may have a port in common.
+        free = free_ports(6)
+        ports = [free[:3], free[3:]]
         listed = [
             {
                 "id": f"entry-west-{letter}",
