--- a/review/stand3.py
+++ b/review/stand3.py
@@ -28,6 +28,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOLDS, BROKEN, CANNOT_RUN = 0, 1, 2
 HOST = "review.example"
+# Changes that the store keeps; more than it gets in 20 s, its history.
+MAX_CHANGES = 100
 
 # Limits of a small deployment (sites/vsvo-levy.toml).
 BOUNDS = {
@@ -157,6 +159,8 @@
         # By kind and name: revision, specification as JSON or as raw bytes.
         self.objects: dict[tuple[str, str], tuple[int, bytes]] = {}
         self.changes: list[tuple[int, str, bytes, bool]] = []
+        # A watch from before this revision gets 410.
+        self.oldest = self.revision
         self.changed = asyncio.Event()
 
     def _object(self, name: str, revision: int, specification: bytes) -> bytes:
@@ -186,6 +190,8 @@
 
     def _add_change(self, kind: str, raw: bytes, deleted: bool) -> None:
         self.changes.append((self.revision, kind, raw, deleted))
+        while len(self.changes) > MAX_CHANGES:
+            self.oldest = self.changes.pop(0)[0]
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
@@ -221,6 +227,8 @@
         return self._json(200, raw + str(self.revision).encode() + b"}")
 
     async def _watch(self, kind: str, after: int, fields):
+        if after < self.oldest:
+            return self._json(410, b"{}")
         ends_at = time.monotonic() + int(fields.get("wait_ms", "0")) / 1000
         while True:
             found = [c for c in self.changes if c[0] > after and c[1] == kind]
