--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,10 +1,9 @@
-"""Clients that send ahead and read slowly, while the gateway gets SIGTERM."""
+"""A large configuration is changed in quick succession, again and again."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
-import socket
+import json
 import sys
 import time
 from pathlib import Path
@@ -16,103 +15,169 @@
 from stand3 import HOLDS
 from stand3 import TROUBLE
 
-CLIENTS = 8
-ANSWER_BYTES = 28_000
+PATH, SERVICE = "/look/", "ledger-view"
+GATEWAYS = 2
+# Routes beside the one that is used; the object stays below `value_bytes`.
+ROUTES = 2_100
+MAX_OBJECT_BYTES = 1_048_576
+# A change each GAP_S for STORM_S, then a pause.
+GAP_S, STORM_S, PAUSE_S = 0.33, 4.0, 1.0
+RUN_S = 85.0
+CLIENTS = 24
 DEADLINE_S = 4.0
-# Bytes that a client reads at once, and the pause between.
-READ_BYTES, READ_PAUSE_S = 2_048, 0.1
+WORK_S = 0.3
+# The platform kills a process that exceeds the memory of the settings.
+MEMORY_BYTES = 300 * 1024 * 1024
+RESTART_S = 0.5
 
 
-class SlowClient:
-    """Sends a safe request, and one more while it reads the first answer."""
+def configuration_bytes(version: int) -> bytes:
+    """Return a version in which one route has another timeout."""
+    changed = version % ROUTES
+    routes = [
+        stand3.route(
+            f"r-{number}",
+            f"/x{number}/",
+            SERVICE,
+            "unsafe",
+            timeout="3s" if number == changed else "2s",
+        )
+        for number in range(ROUTES)
+    ]
+    value = stand3.configuration(
+        version,
+        stand3.route("look", PATH, SERVICE),
+        *routes,
+        stand3.service(SERVICE),
+        stand3.limits(),
+    )
+    return json.dumps(value, separators=(",", ":")).encode()
 
-    def __init__(self, case: stand3.Case, gateway, number: int) -> None:
-        self.case, self.gateway = case, gateway
-        self.first, self.second = f"a{number}", f"b{number}"
-        self.received = b""
-        self.end = ""
-
-    async def run(self) -> None:
-        loop = asyncio.get_running_loop()
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        sock.setblocking(False)
-        gateway = self.gateway
-        await loop.sock_connect(sock, (gateway.ip, gateway.ports["frontend"]))
-        ms = int(DEADLINE_S * 1000)
-        started = time.monotonic()
-        await loop.sock_sendall(sock, stand3.request(self.first, "/look/x", ms))
-        self.case.record.add(f"client: sends {self.first}")
-        sent_second = False
+
+class Platform:
+    """Watches the memory of the gateways, and starts again what has ended."""
+
+    def __init__(self, case: stand3.Case) -> None:
+        self.case = case
+        self.kills = 0
+        self.highest = 0
+
+    async def run(self, until: float) -> None:
+        reported = 0.0
+        while time.monotonic() < until:
+            sizes = [self._resident_bytes(gateway) for gateway in self.case.gateways]
+            self.highest = max(self.highest, *sizes)
+            if time.monotonic() - reported >= 5.0:
+                reported = time.monotonic()
+                text = ", ".join(f"{size / 1e6:.0f}" for size in sizes)
+                self.case.record.add(f"platform: resident memory {text} MB")
+            for gateway, size in zip(self.case.gateways, sizes, strict=True):
+                if size > MEMORY_BYTES:
+                    self.kills += 1
+                    self.case.record.add(
+                        f"platform: kills {gateway.name}, {size / 1e6:.0f} MB"
+                    )
+                    gateway.process.kill()
+                    await gateway.process.wait()
+                    await asyncio.sleep(RESTART_S)
+                    await gateway.start()
+            await asyncio.sleep(0.05)
+
+    def _resident_bytes(self, gateway) -> int:
         try:
-            while time.monotonic() - started < DEADLINE_S + 1:
-                data = await asyncio.wait_for(
-                    loop.sock_recv(sock, READ_BYTES), DEADLINE_S
+            text = Path(f"/proc/{gateway.process.pid}/status").read_text()
+        except OSError:
+            return 0
+        lines = [line for line in text.splitlines() if line.startswith("VmRSS:")]
+        return int(lines[0].split()[1]) * 1024 if lines else 0
+
+
+class Client:
+    """Sends one safe request after the other on a connection that it keeps."""
+
+    def __init__(self, case: stand3.Case, gateway, number: int) -> None:
+        self.case, self.gateway, self.number = case, gateway, number
+        self.answered = 0
+        # Requests on kept connections that ended without an answer.
+        self.cut: list[str] = []
+
+    async def run(self, until: float) -> None:
+        count = 0
+        while time.monotonic() < until:
+            try:
+                reader, writer = await asyncio.open_connection(
+                    self.gateway.ip, self.gateway.ports["frontend"]
                 )
-                if not data:
-                    self.end = "end of the connection"
-                    break
-                self.received += data
-                if self.first_complete:
-                    self.end = "complete"
-                    break
-                if not sent_second and len(self.received) > 4_096:
-                    sent_second = True
-                    more = stand3.request(self.second, "/look/x", ms)
-                    await loop.sock_sendall(sock, more)
-                    self.case.record.add(f"client: sends {self.second} ahead")
-                await asyncio.sleep(READ_PAUSE_S)
-        except (OSError, asyncio.TimeoutError) as exc:
-            self.end = type(exc).__name__
-        sock.close()
-        seconds = time.monotonic() - started
-        self.case.record.add(
-            f"client: {self.first} ends after {seconds:.2f} s with"
-            f" {len(self.received)} bytes: {self.end}"
-        )
+            except OSError:
+                await asyncio.sleep(0.2)
+                continue
+            kept = False
+            try:
+                while time.monotonic() < until:
+                    count += 1
+                    name = f"{self.gateway.name}-{self.number}-{count}"
+                    ms = int(DEADLINE_S * 1000)
+                    writer.write(stand3.request(name, f"{PATH}{name}", ms))
+                    status, headers, _ = await asyncio.wait_for(
+                        stand3.read_response(reader), DEADLINE_S
+                    )
+                    self.answered += status == 200
+                    kept = True
+                    if headers.get("connection") == "close":
+                        break
+                    await asyncio.sleep(0.1)
+            except (OSError, EOFError):
+                if kept:
+                    self.cut.append(name)
+                self.case.record.add(f"client: {name}: the connection ended")
+            except asyncio.TimeoutError:
+                self.case.record.add(f"client: {name}: no answer in time")
+            finally:
+                writer.close()
 
-    @property
-    def first_complete(self) -> bool:
-        head, found, body = self.received.partition(b"\r\n\r\n")
-        if not found:
-            return False
-        lengths = [
-            int(line.split(b":")[1])
-            for line in head.lower().split(b"\r\n")
-            if line.startswith(b"content-length:")
-        ]
-        return len(body) >= lengths[0]
+
+async def change_configuration(case: stand3.Case, until: float) -> None:
+    version = 10
+    while time.monotonic() < until:
+        storm_ends = time.monotonic() + STORM_S
+        while time.monotonic() < min(storm_ends, until):
+            version += 3
+            started = time.monotonic()
+            raw = configuration_bytes(version)
+            case.store.put("config", "main", raw, f"(version {version})")
+            spent = time.monotonic() - started
+            await asyncio.sleep(max(0.0, GAP_S - spent))
+        await asyncio.sleep(PAUSE_S)
 
 
 async def main(case: stand3.Case) -> int:
-    service = "ledger-view"
-    for number in range(2):
-        await case.add_worker(
-            f"w-{number}", service, "lautoka-a", work_s=0.4, answer_bytes=ANSWER_BYTES
-        )
-    case.store.put(
-        "config",
-        "main",
-        stand3.configuration(
-            3,
-            stand3.route("look", "/look/", service),
-            stand3.service(service),
-            stand3.limits(),
-        ),
-    )
-    gateway = await case.add_gateway("frontend-1")
-    await gateway.wait_ready()
+    zones = tuple(stand3.ZONES)
+    for number in range(6):
+        zone = zones[number % len(zones)]
+        await case.add_worker(f"w-{number}", SERVICE, zone, work_s=WORK_S)
+    raw = configuration_bytes(10)
+    assert len(raw) < MAX_OBJECT_BYTES - 1_000
+    case.store.put("config", "main", raw, f"({len(raw)} bytes)")
+    gateways = [await case.add_gateway(f"frontend-{n}") for n in range(GATEWAYS)]
+    for gateway in gateways:
+        await gateway.wait_ready()
     await asyncio.sleep(5.0)
-    clients = [SlowClient(case, gateway, n) for n in range(CLIENTS)]
-    running = [asyncio.create_task(client.run()) for client in clients]
-    await asyncio.sleep(0.2)
+    until = time.monotonic() + RUN_S
+    platform = Platform(case)
+    clients = [Client(case, gateways[n % GATEWAYS], n) for n in range(CLIENTS)]
+    running = [asyncio.create_task(client.run(until)) for client in clients]
+    running.append(asyncio.create_task(platform.run(until)))
     if TROUBLE:
-        gateway.signal(signal.SIGTERM)
+        running.append(asyncio.create_task(change_configuration(case, until)))
     await asyncio.gather(*running)
-    finished = {name for worker in case.workers for name in worker.finished}
-    cut = [c for c in clients if c.first in finished and not c.first_complete]
-    case.record.add(f"{len(cut)} of {CLIENTS} answers that a worker made were cut")
-    return BROKEN if cut else HOLDS
+    ran = {name for worker in case.workers for name in worker.runs}
+    lost = [name for client in clients for name in client.cut if name in ran]
+    case.record.add(
+        f"{sum(client.answered for client in clients)} answered; highest memory"
+        f" {platform.highest / 1e6:.0f} MB; {platform.kills} processes killed for their"
+        f" memory; {len(lost)} requests passed on and cut: {', '.join(lost)}"
+    )
+    return BROKEN if len(lost) > 3 else HOLDS
 
 
 if __name__ == "__main__":
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,9 +1,8 @@
-"""A large configuration is changed in quick succession, again and again."""
+"""Another writer's entry among the servers cannot be read, and is written again at times."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 import time
 from pathlib import Path
@@ -17,167 +16,115 @@
 
 PATH, SERVICE = "/look/", "ledger-view"
 GATEWAYS = 2
-# Routes beside the one that is used; the object stays below `value_bytes`.
-ROUTES = 2_100
-MAX_OBJECT_BYTES = 1_048_576
-# A change each GAP_S for STORM_S, then a pause.
-GAP_S, STORM_S, PAUSE_S = 0.33, 4.0, 1.0
-RUN_S = 85.0
-CLIENTS = 24
-DEADLINE_S = 4.0
-WORK_S = 0.3
-# The platform kills a process that exceeds the memory of the settings.
-MEMORY_BYTES = 300 * 1024 * 1024
-RESTART_S = 0.5
-
-
-def configuration_bytes(version: int) -> bytes:
-    """Return a version in which one route has another timeout."""
-    changed = version % ROUTES
-    routes = [
-        stand3.route(
-            f"r-{number}",
-            f"/x{number}/",
-            SERVICE,
-            "unsafe",
-            timeout="3s" if number == changed else "2s",
-        )
-        for number in range(ROUTES)
-    ]
-    value = stand3.configuration(
-        version,
-        stand3.route("look", PATH, SERVICE),
-        *routes,
-        stand3.service(SERVICE),
-        stand3.limits(),
-    )
-    return json.dumps(value, separators=(",", ":")).encode()
-
+PER_S = 20.0
+DEADLINE_S, TIMEOUT_S = 4.0, 1.5
+QUIET_S, TROUBLED_S = 5.0, 20.0
+# Workers write their entries at this interval.
+HEARTBEAT_S = 1.5
+# The store takes objects of 1,048,576 bytes at most (`value_bytes`).
+ENTRY_BYTES = 1_048_000
+# Time after which an answer at the route's timeout is late.
+LATE_S = 0.5
 
-class Platform:
-    """Watches the memory of the gateways, and starts again what has ended."""
 
-    def __init__(self, case: stand3.Case) -> None:
-        self.case = case
-        self.kills = 0
-        self.highest = 0
-
-    async def run(self, until: float) -> None:
-        reported = 0.0
-        while time.monotonic() < until:
-            sizes = [self._resident_bytes(gateway) for gateway in self.case.gateways]
-            self.highest = max(self.highest, *sizes)
-            if time.monotonic() - reported >= 5.0:
-                reported = time.monotonic()
-                text = ", ".join(f"{size / 1e6:.0f}" for size in sizes)
-                self.case.record.add(f"platform: resident memory {text} MB")
-            for gateway, size in zip(self.case.gateways, sizes, strict=True):
-                if size > MEMORY_BYTES:
-                    self.kills += 1
-                    self.case.record.add(
-                        f"platform: kills {gateway.name}, {size / 1e6:.0f} MB"
-                    )
-                    gateway.process.kill()
-                    await gateway.process.wait()
-                    await asyncio.sleep(RESTART_S)
-                    await gateway.start()
-            await asyncio.sleep(0.05)
-
-    def _resident_bytes(self, gateway) -> int:
-        try:
-            text = Path(f"/proc/{gateway.process.pid}/status").read_text()
-        except OSError:
-            return 0
-        lines = [line for line in text.splitlines() if line.startswith("VmRSS:")]
-        return int(lines[0].split()[1]) * 1024 if lines else 0
+def unreadable_entry(number: int) -> bytes:
+    """Return a list of a text that is no UTF-8 and of empty lists."""
+    text = f'"{number} '.encode() + b'\xff"'
+    return b"[" + text + b",[]" * ((ENTRY_BYTES - len(text)) // 3) + b"]"
 
 
-class Client:
-    """Sends one safe request after the other on a connection that it keeps."""
+class Callers:
+    """Send safe requests at a steady rate, each on a new connection."""
 
-    def __init__(self, case: stand3.Case, gateway, number: int) -> None:
-        self.case, self.gateway, self.number = case, gateway, number
-        self.answered = 0
-        # Requests on kept connections that ended without an answer.
-        self.cut: list[str] = []
+    def __init__(self, case: stand3.Case) -> None:
+        self.case = case
+        # Time at which each was sent, its outcome, and how long it took.
+        self.outcomes: list[tuple[float, str, float]] = []
 
     async def run(self, until: float) -> None:
-        count = 0
+        running, number = [], 0
         while time.monotonic() < until:
+            number += 1
+            gateway = self.case.gateways[number % GATEWAYS]
+            running.append(asyncio.create_task(self._request(gateway, number)))
+            await asyncio.sleep(1.0 / PER_S)
+        await asyncio.gather(*running)
+
+    async def _request(self, gateway, number: int) -> None:
+        sent_at = time.monotonic()
+        outcome = await self._send(gateway, f"look-{number}")
+        taken_s = time.monotonic() - sent_at
+        self.outcomes.append((sent_at, outcome, taken_s))
+        text = f"look-{number} gets {outcome} from {gateway.name} after {taken_s:.2f} s"
+        self.case.record.add(f"caller: {text}")
+
+    async def _send(self, gateway, name: str) -> str:
+        async def exchange() -> str:
+            reader, writer = await asyncio.open_connection(
+                gateway.ip, gateway.ports["frontend"]
+            )
             try:
-                reader, writer = await asyncio.open_connection(
-                    self.gateway.ip, self.gateway.ports["frontend"]
-                )
-            except OSError:
-                await asyncio.sleep(0.2)
-                continue
-            kept = False
-            try:
-                while time.monotonic() < until:
-                    count += 1
-                    name = f"{self.gateway.name}-{self.number}-{count}"
-                    ms = int(DEADLINE_S * 1000)
-                    writer.write(stand3.request(name, f"{PATH}{name}", ms))
-                    status, headers, _ = await asyncio.wait_for(
-                        stand3.read_response(reader), DEADLINE_S
-                    )
-                    self.answered += status == 200
-                    kept = True
-                    if headers.get("connection") == "close":
-                        break
-                    await asyncio.sleep(0.1)
-            except (OSError, EOFError):
-                if kept:
-                    self.cut.append(name)
-                self.case.record.add(f"client: {name}: the connection ended")
-            except asyncio.TimeoutError:
-                self.case.record.add(f"client: {name}: no answer in time")
+                ms = int(DEADLINE_S * 1000)
+                writer.write(stand3.request(name, f"{PATH}{name}", ms))
+                status, _, _ = await stand3.read_response(reader)
             finally:
                 writer.close()
+            return str(status)
+
+        try:
+            return await asyncio.wait_for(exchange(), DEADLINE_S)
+        except (OSError, EOFError, asyncio.TimeoutError) as exc:
+            return type(exc).__name__
 
 
-async def change_configuration(case: stand3.Case, until: float) -> None:
-    version = 10
+async def write_entries(case: stand3.Case, until: float) -> None:
+    """Write the foreign entry again and again; without trouble it is a short one."""
+    number = 0
     while time.monotonic() < until:
-        storm_ends = time.monotonic() + STORM_S
-        while time.monotonic() < min(storm_ends, until):
-            version += 3
-            started = time.monotonic()
-            raw = configuration_bytes(version)
-            case.store.put("config", "main", raw, f"(version {version})")
-            spent = time.monotonic() - started
-            await asyncio.sleep(max(0.0, GAP_S - spent))
-        await asyncio.sleep(PAUSE_S)
+        number += 1
+        entry = unreadable_entry(number) if TROUBLE else f'["{number}",[]]'.encode()
+        case.store.put("servers", "foreign", entry, f"({len(entry)} bytes)")
+        await asyncio.sleep(HEARTBEAT_S)
 
 
 async def main(case: stand3.Case) -> int:
     zones = tuple(stand3.ZONES)
     for number in range(6):
         zone = zones[number % len(zones)]
-        await case.add_worker(f"w-{number}", SERVICE, zone, work_s=WORK_S)
-    raw = configuration_bytes(10)
-    assert len(raw) < MAX_OBJECT_BYTES - 1_000
-    case.store.put("config", "main", raw, f"({len(raw)} bytes)")
+        await case.add_worker(f"w-{number}", SERVICE, zone, work_s=0.2)
+    look = stand3.route("look", PATH, SERVICE, timeout=f"{TIMEOUT_S}s")
+    case.store.put(
+        "config",
+        "main",
+        stand3.configuration(3, look, stand3.service(SERVICE), stand3.limits()),
+    )
     gateways = [await case.add_gateway(f"frontend-{n}") for n in range(GATEWAYS)]
     for gateway in gateways:
         await gateway.wait_ready()
-    await asyncio.sleep(5.0)
-    until = time.monotonic() + RUN_S
-    platform = Platform(case)
-    clients = [Client(case, gateways[n % GATEWAYS], n) for n in range(CLIENTS)]
-    running = [asyncio.create_task(client.run(until)) for client in clients]
-    running.append(asyncio.create_task(platform.run(until)))
-    if TROUBLE:
-        running.append(asyncio.create_task(change_configuration(case, until)))
+    await asyncio.sleep(6.0)
+    began = time.monotonic()
+    troubled_from = began + QUIET_S
+    until = troubled_from + TROUBLED_S
+    callers = Callers(case)
+    running = [asyncio.create_task(callers.run(until))]
+    await asyncio.sleep(QUIET_S)
+    running.append(asyncio.create_task(write_entries(case, until)))
     await asyncio.gather(*running)
-    ran = {name for worker in case.workers for name in worker.runs}
-    lost = [name for client in clients for name in client.cut if name in ran]
-    case.record.add(
-        f"{sum(client.answered for client in clients)} answered; highest memory"
-        f" {platform.highest / 1e6:.0f} MB; {platform.kills} processes killed for their"
-        f" memory; {len(lost)} requests passed on and cut: {', '.join(lost)}"
-    )
-    return BROKEN if len(lost) > 3 else HOLDS
+    broken = False
+    for label, since, end in (
+        ("before", began, troubled_from),
+        ("with foreign entries", troubled_from, until),
+    ):
+        found = [o for o in callers.outcomes if since <= o[0] < end]
+        served = sum(outcome == "200" for _, outcome, _ in found)
+        due = sum(taken_s > TIMEOUT_S for _, _, taken_s in found)
+        late = sum(taken_s > TIMEOUT_S + LATE_S for _, _, taken_s in found)
+        case.record.add(
+            f"{label}: {len(found)} sent, {served} served, {due} unanswered at the"
+            f" route's timeout, {late} of these {LATE_S} s later"
+        )
+        broken = due >= 20 and late > due / 2
+    return BROKEN if broken else HOLDS
 
 
 if __name__ == "__main__":
