Review: stand-ins choose distinct ports and end their processes when stopped

Cause: case 15 could not run once, as two listeners of a gateway had been given one port.

Change: ports are drawn together, below those of outgoing connections; a script that gets SIGTERM ends its gateways.

--- a/review/stand3.py
+++ b/review/stand3.py
@@ -75,10 +75,20 @@
     return "127." + ".".join(map(str, parts))
 
 
-def free_port(ip: str, kind: int = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind((ip, 0))
-        return sock.getsockname()[1]
+def free_ports(ip: str, count: int) -> list[int]:
+    """Return free ports below those that the system gives to outgoing connections."""
+    found: list[int] = []
+    for port in random.sample(range(20_000, 32_000), 1_000):
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as sock:
+                    sock.bind((ip, port))
+        except OSError:
+            continue
+        found.append(port)
+        if len(found) == count:
+            return found
+    raise CannotRun("no free ports")
 
 
 async def read_message(reader: asyncio.StreamReader, conn: h11.Connection):
@@ -409,8 +419,9 @@
     def __init__(self, record: Record, folder: Path, name: str, store: str) -> None:
         self.record, self.folder, self.name, self.store = record, folder, name, store
         self.ip = loopback_address()
-        self.ports = {n: free_port(self.ip) for n in ("frontend", "ready", "directory")}
-        self.internal_port = free_port(self.ip)
+        *public, self.internal_port = free_ports(self.ip, 4)
+        names = ("frontend", "ready", "directory")
+        self.ports = dict(zip(names, public, strict=True))
         self.zone = next(iter(ZONES))
         self.bounds = dict(BOUNDS)
         self.process: asyncio.subprocess.Process | None = None
@@ -562,15 +573,25 @@
         shutil.rmtree(self.temporary, ignore_errors=True)
 
 
+def cancel_once(task: asyncio.Task) -> None:
+    """Cancel a task at the first signal, and let it end what it started."""
+    if not task.cancelling():
+        task.cancel()
+
+
 def run(folder: str, main) -> None:
     """Run a case and exit with its status."""
 
     async def guarded() -> int:
         case = Case(Path(folder).resolve())
+        task = asyncio.current_task()
+        # The gateways are ended also if the script is stopped.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, cancel_once, task)
         try:
             await case.store.start()
             status = await asyncio.wait_for(main(case), 110.0)
-        except (CannotRun, OSError, asyncio.TimeoutError) as exc:
+        except (CannotRun, OSError, asyncio.CancelledError, asyncio.TimeoutError) as exc:
             case.record.add(f"could not run: {type(exc).__name__}: {exc}")
             status = CANNOT_RUN
         finally:
