--- a/review/11/case.py
+++ b/review/11/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import sys
 import time
 from pathlib import Path
@@ -103,6 +104,8 @@
 
     async def run(self, until: float) -> None:
         count = 0
+        # Clients in step would all be between two requests at the same time.
+        await asyncio.sleep(self.number * (WORK_S + 0.1) / CLIENTS)
         while time.monotonic() < until:
             try:
                 reader, writer = await asyncio.open_connection(
@@ -125,7 +128,7 @@
                     kept = True
                     if headers.get("connection") == "close":
                         break
-                    await asyncio.sleep(0.1)
+                    await asyncio.sleep(random.uniform(0.05, 0.15))
             except (OSError, EOFError):
                 if kept:
                     self.cut.append(name)
